--- a/internal/admin/queries.go
+++ b/internal/admin/queries.go
@@ -70,11 +70,20 @@
 
 // metricsJSON serves the registry as JSON.
 func (s *Server) metricsJSON(w http.ResponseWriter, _ *http.Request) {
+	s.refresh()
 	s.answer(w, s.options.Registry, nil)
 }
 
 // metricsText serves the registry in the Prometheus text form.
 func (s *Server) metricsText(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	s.refresh()
 	writePrometheus(w, s.options.Registry)
 }
+
+// refresh brings metrics that are taken on demand up to date.
+func (s *Server) refresh() {
+	if s.options.Refresh != nil {
+		s.options.Refresh()
+	}
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -55,12 +55,16 @@
 
 // Options set up a Server.
 type Options struct {
-	Address  netip.AddrPort
-	TLS      *tls.Config
-	Queries  Queries
+	Address netip.AddrPort
+	TLS     *tls.Config
+	Queries Queries
+	// Commands may be nil: such a server changes nothing, and so may serve plain
+	// text beyond loopback, where only the hosts' own network reaches it.
 	Commands Commands
 	Registry metrics.Registry
-	Logger   *slog.Logger
+	// Refresh, if set, is called before the metrics are read.
+	Refresh func()
+	Logger  *slog.Logger
 }
 
 // Server is the operators' listener.
@@ -72,7 +76,7 @@
 
 // New binds the listener. The error is ErrPlainText or the listener's.
 func New(o Options) (*Server, error) {
-	if o.TLS == nil && !o.Address.Addr().IsLoopback() {
+	if o.TLS == nil && o.Commands != nil && !o.Address.Addr().IsLoopback() {
 		return nil, ErrPlainText
 	}
 	listener, err := net.Listen("tcp", o.Address.String())
@@ -117,6 +121,9 @@
 	mux.HandleFunc("GET "+adminapi.PathFlow, s.flow)
 	mux.HandleFunc("GET "+adminapi.PathMetrics, s.metricsText)
 	mux.HandleFunc("GET "+adminapi.PathMetricsJSON, s.metricsJSON)
+	if s.options.Commands == nil {
+		return mux
+	}
 	mux.HandleFunc("POST "+adminapi.PathMark, s.mark)
 	mux.HandleFunc("POST "+adminapi.PathStop, s.stop)
 	return mux
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,7 @@
 			&cli.StringFlag{Name: "check-settings", Usage: "check `FILE` and print every mistake"},
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"},
 		},
+		Commands: []*cli.Command{relayCommand(stdout)},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return run(ctx, c, stdout, stderr)
 		},
--- /dev/null
+++ b/internal/daemon/relay.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"toucangap/internal/relayd"
+	"toucangap/internal/settings"
+)
+
+// relaySettingsVariable names the settings file where no flag does.
+const relaySettingsVariable = "TOUCANGAP_NODE_FILE"
+
+// relayCommand runs a host that forwards flows by tokens.
+func relayCommand(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "relay",
+		Usage: "forward flows by the tokens in their packets; configuration and endpoints come from the store",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "run with the settings in `FILE`", Sources: cli.EnvVars(relaySettingsVariable)},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runRelay(ctx, c, stdout)
+		},
+	}
+}
+
+func runRelay(ctx context.Context, c *cli.Command, stdout io.Writer) error {
+	path := c.String("settings")
+	if path == "" {
+		return errUsage
+	}
+	s, err := settings.LoadRelay(path)
+	if err != nil {
+		return err
+	}
+	if c.Bool("check") {
+		fmt.Fprintln(stdout, path+": no mistakes")
+		return nil
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.String("log-level"))); err != nil {
+		return errUsage
+	}
+	d, err := relayd.New(s, stdout, level)
+	if err != nil {
+		return err
+	}
+	return serveRelay(ctx, d, path)
+}
+
+// serveRelay runs the host until a planned stop is over. A second signal ends
+// it at once.
+func serveRelay(ctx context.Context, d *relayd.Daemon, path string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	go func() {
+		stopping := false
+		for received := range signals {
+			switch {
+			case received == syscall.SIGHUP:
+				d.Reload(path)
+			case stopping:
+				cancel()
+			default:
+				stopping = true
+				go func() {
+					d.Stop(ctx)
+					cancel()
+				}()
+			}
+		}
+	}()
+	return d.Run(ctx)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,8 @@
 		peerArea,
 		trafficArea,
 		controlArea,
+		relayArea,
+		followerArea,
 	}
 }
 
--- /dev/null
+++ b/internal/follow/hosts.go
@@ -0,0 +1,104 @@
+package follow
+
+import (
+	"cmp"
+	"encoding/json"
+	"log/slog"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucangap/internal/event"
+	"toucangap/platform"
+)
+
+// Host is a host as it registers in the store.
+type Host struct {
+	Name   string         `json:"name"`
+	Domain string         `json:"domain"`
+	Feed   netip.AddrPort `json:"feed"`
+}
+
+// Encode returns the host's registration.
+func (h Host) Encode() ([]byte, error) { return json.Marshal(h) }
+
+func (k *Keeper) host(name string, c *platform.Change) {
+	if c.Removed {
+		if _, ok := k.hosts[name]; ok {
+			delete(k.hosts, name)
+			event.Log(k.logger, event.HostGone, slog.String("host", name), slog.Uint64("revision", c.Revision))
+		}
+		return
+	}
+	var h Host
+	if err := json.Unmarshal(c.Value, &h); err != nil || h.Name != name || !h.Feed.IsValid() {
+		event.Log(k.logger, event.EntryUnreadable, slog.String("host", name), slog.Uint64("revision", c.Revision))
+		delete(k.hosts, name)
+		return
+	}
+	if k.hosts[name] != h {
+		event.Log(k.logger, event.HostListed, slog.String("host", name), slog.String("domain", h.Domain),
+			slog.String("feed", h.Feed.String()), slog.Uint64("revision", c.Revision))
+	}
+	k.hosts[name] = h
+}
+
+// Hosts returns the registered hosts by name.
+func (k *Keeper) Hosts() []Host {
+	hosts := make([]Host, 0, len(k.hosts))
+	for _, h := range k.hosts {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return hosts
+}
+
+// Secret returns the secret that hosts share, or nil.
+func (k *Keeper) Secret() []byte { return k.secret }
+
+// Feeders returns the hosts that may feed the named one, the best first: those
+// of its domain that rank above it. All hosts with the same registrations agree
+// on the order, so the first of a domain finds none and follows the store.
+func Feeders(hosts []Host, name, domain string) []Host {
+	own := rank(domain, name)
+	var feeders []Host
+	for _, h := range hosts {
+		if h.Domain == domain && h.Name != name && rank(domain, h.Name) > own {
+			feeders = append(feeders, h)
+		}
+	}
+	sortByRank(feeders, domain)
+	return feeders
+}
+
+// Helpers returns the hosts that may feed the named one while it can't reach
+// the store, those of its own domain first. The order differs from host to
+// host, so that not all ask the same one.
+func Helpers(hosts []Host, name, domain string) []Host {
+	var helpers []Host
+	for _, h := range hosts {
+		if h.Name != name {
+			helpers = append(helpers, h)
+		}
+	}
+	sortByRank(helpers, name)
+	slices.SortStableFunc(helpers, func(a, b Host) int {
+		return cmp.Compare(boolRank(a.Domain != domain), boolRank(b.Domain != domain))
+	})
+	return helpers
+}
+
+func sortByRank(hosts []Host, salt string) {
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(rank(salt, b.Name), rank(salt, a.Name)) })
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// rank orders hosts by rendezvous hashing.
+func rank(salt, name string) uint64 { return xxhash.Sum64String(salt + "/" + name) }
--- /dev/null
+++ b/internal/follow/store.go
@@ -0,0 +1,154 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucangap/internal/event"
+	"toucangap/platform"
+)
+
+// Store is what following needs of the platform's store.
+type Store interface {
+	List(ctx context.Context, prefix, after string, stale bool) (platform.Page, error)
+	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (platform.Changes, error)
+}
+
+// maxPages bounds a listing: a million keys.
+const maxPages = 2000
+
+// Follower brings what the store says. It serves one goroutine.
+type Follower struct {
+	Store  Store
+	Pace   Pace
+	Logger *slog.Logger
+	// Awake tells the time on a clock that runs on while the machine sleeps.
+	Awake func() time.Duration
+	// Take is given what the store says.
+	Take func(Batch)
+
+	// cursor is where the next watch goes on; 0 means that a listing is due.
+	cursor  uint64
+	backoff Backoff
+	lostAt  time.Duration
+	lost    bool
+}
+
+// sourceStore names the store as the source of a batch.
+const sourceStore = "store"
+
+// Resume makes the next step go on from the revision, which another source has
+// brought meanwhile.
+func (f *Follower) Resume(revision uint64) { f.cursor = max(f.cursor, revision) }
+
+// Lost reports whether the last call failed.
+func (f *Follower) Lost() bool { return f.lost }
+
+// Step makes one call and returns how long to wait before the next one.
+func (f *Follower) Step(ctx context.Context) time.Duration {
+	begun := f.Awake()
+	err := f.call(ctx)
+	if ctx.Err() != nil {
+		return 0
+	}
+	if errors.Is(err, platform.ErrCompacted) {
+		// The listing that is due now is a call like any other.
+		f.cursor = 0
+		return 0
+	}
+	if err != nil {
+		return f.failed(begun, err)
+	}
+	f.backoff.Reset()
+	return max(0, f.Pace.Pause-(f.Awake()-begun))
+}
+
+func (f *Follower) call(ctx context.Context) error {
+	if f.cursor == 0 {
+		return f.list(ctx)
+	}
+	return f.watch(ctx)
+}
+
+func (f *Follower) failed(begun time.Duration, err error) time.Duration {
+	if !f.lost {
+		f.lost, f.lostAt = true, begun
+		event.Log(f.Logger, event.StoreLost, slog.String("error", err.Error()), slog.Uint64("revision", f.cursor))
+	}
+	return f.backoff.Next()
+}
+
+// regained notes an answer and reports whether failures came before it.
+func (f *Follower) regained() bool {
+	if !f.lost {
+		return false
+	}
+	f.lost = false
+	event.Log(f.Logger, event.StoreRegained,
+		slog.Duration("away", f.Awake()-f.lostAt), slog.Int("failures", f.backoff.Failures()))
+	return true
+}
+
+// list reads all keys. The pages are no snapshot: the batch is complete up to
+// the first page's revision, and the watch goes on from there.
+func (f *Follower) list(ctx context.Context) error {
+	batch := Batch{Source: sourceStore, Complete: true, Proven: f.Awake()}
+	after := ""
+	for range maxPages {
+		page, err := f.page(ctx, after)
+		if err != nil {
+			return err
+		}
+		if batch.Revision == 0 {
+			batch.Revision = page.Revision
+		}
+		for _, item := range page.Items {
+			batch.Changes = append(batch.Changes, platform.Change{Item: item})
+			after = item.Key
+		}
+		if !page.More || len(page.Items) == 0 {
+			f.cursor = batch.Revision
+			batch.Regained = f.regained()
+			event.Log(f.Logger, event.StoreListed, slog.Int("keys", len(batch.Changes)), slog.Uint64("revision", batch.Revision))
+			f.Take(batch)
+			return nil
+		}
+	}
+	return merry.New("listing does not end")
+}
+
+func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Pace.Call)
+	defer cancel()
+	return f.Store.List(ctx, platform.Everything, after, false)
+}
+
+// watch waits for changes. An answer without any proves that nothing had
+// changed when the store's wait was over; one with changes only that they were
+// all at the time of the call.
+func (f *Follower) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Pace.Watch+f.Pace.Slack)
+	defer cancel()
+	begun := f.Awake()
+	changes, err := f.Store.Watch(ctx, platform.Everything, f.cursor, f.Pace.Watch)
+	if err != nil {
+		return err
+	}
+	proven := begun
+	if len(changes.Changes) == 0 {
+		proven = min(begun+f.Pace.Watch, f.Awake())
+	}
+	f.cursor = max(f.cursor, changes.Revision)
+	f.Take(Batch{
+		Source:   sourceStore,
+		Changes:  changes.Changes,
+		Revision: f.cursor,
+		Proven:   proven,
+		Regained: f.regained(),
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/logbuf/logbuf.go
@@ -0,0 +1,103 @@
+// Package logbuf decouples the writing of log lines from those who log: lines
+// are buffered in memory and written by a goroutine, so that a reader that does
+// not read never blocks the process. Lines that don't fit are counted and left
+// out.
+package logbuf
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// size is the buffer in bytes: some hundred lines, which is what a host logs
+	// within a few intervals.
+	size = 64 << 10
+	// interval is the longest time that a line waits; what it holds is lost when
+	// the machine loses power.
+	interval = 100 * time.Millisecond
+)
+
+// Writer is an io.Writer of whole lines.
+type Writer struct {
+	out  io.Writer
+	wake chan struct{}
+	done chan struct{}
+
+	mu      sync.Mutex
+	pending []byte
+	closed  bool
+	lost    atomic.Int64
+}
+
+// New returns a writer that writes to out until Close.
+func New(out io.Writer) *Writer {
+	w := &Writer{
+		out:     out,
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+		pending: make([]byte, 0, size),
+	}
+	go w.run()
+	return w
+}
+
+// Write takes a line. It never blocks on the output and never fails: a line
+// without room is counted as lost.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	if w.closed || len(w.pending)+len(line) > size {
+		w.mu.Unlock()
+		w.lost.Add(1)
+		return len(line), nil
+	}
+	w.pending = append(w.pending, line...)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	w.mu.Unlock()
+	return len(line), nil
+}
+
+// Lost returns the number of lines that were left out.
+func (w *Writer) Lost() int64 { return w.lost.Load() }
+
+// Close writes what is buffered, for at most the given time.
+func (w *Writer) Close(timeout time.Duration) {
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.wake)
+	}
+	w.mu.Unlock()
+	select {
+	case <-w.done:
+	case <-time.After(timeout):
+	}
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	spare := make([]byte, 0, size)
+	for range w.wake {
+		time.Sleep(interval)
+		spare = w.flush(spare)
+	}
+	w.flush(spare)
+}
+
+// flush writes what is pending and returns the buffer for the next time.
+func (w *Writer) flush(spare []byte) []byte {
+	w.mu.Lock()
+	lines := w.pending
+	w.pending = spare[:0]
+	w.mu.Unlock()
+	if _, err := w.out.Write(lines); err != nil {
+		// There is nowhere to report it but the counter.
+		w.lost.Add(1)
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/relay/dump.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"toucangap/internal/catalog"
+)
+
+// stateNames are the states as shown to operators.
+var stateNames = map[state]string{stateOpening: "opening", stateOpen: "open", stateEnded: "ended"}
+
+// FlowState is a flow as shown to operators.
+type FlowState struct {
+	Flow     catalog.Flow
+	State    string
+	Route    string
+	Service  string
+	Endpoint string
+	Tried    []string
+	Waiting  bool
+	Adopted  bool
+	Cut      bool
+	Idle     time.Duration
+}
+
+// EndpointState is an endpoint as shown to operators.
+type EndpointState struct {
+	ID         string
+	Service    string
+	Domain     string
+	Listed     bool
+	Draining   bool
+	Suspect    bool
+	Unanswered int
+	Open       int
+	Busy       int
+	Slowness   float64
+}
+
+// Flow returns the state of a flow; ok is false if the host holds none.
+func (r *Relay) Flow(now time.Duration, key catalog.Flow) (s FlowState, ok bool) {
+	f := r.flows[key]
+	if f == nil {
+		return FlowState{}, false
+	}
+	return f.show(now), true
+}
+
+func (f *flow) show(now time.Duration) FlowState {
+	s := FlowState{
+		Flow:     f.key,
+		State:    stateNames[f.state],
+		Route:    f.route,
+		Service:  f.service.name,
+		Endpoint: f.endpoint.Entry.ID,
+		Waiting:  f.waiting,
+		Adopted:  f.adopted,
+		Cut:      f.cut,
+		Idle:     now - f.lastSeen,
+	}
+	for _, e := range f.candidatesTried() {
+		s.Tried = append(s.Tried, e.Entry.ID)
+	}
+	return s
+}
+
+// Flows returns the states of at most limit flows.
+func (r *Relay) Flows(now time.Duration, limit int) []FlowState {
+	states := make([]FlowState, 0, min(limit, len(r.flows)))
+	for _, f := range r.flows {
+		if len(states) == limit {
+			break
+		}
+		states = append(states, f.show(now))
+	}
+	return states
+}
+
+// Endpoints returns the states of all endpoints by id.
+func (r *Relay) Endpoints(now time.Duration) []EndpointState {
+	states := make([]EndpointState, 0, len(r.endpoints))
+	for _, e := range r.endpoints {
+		states = append(states, EndpointState{
+			ID:         e.Entry.ID,
+			Service:    e.Entry.Service,
+			Domain:     e.Entry.Domain,
+			Listed:     e.Entry.Listed,
+			Draining:   e.Entry.Draining,
+			Suspect:    e.Suspect(now),
+			Unanswered: e.Unanswered(),
+			Open:       e.Open,
+			Busy:       e.Busy,
+			Slowness:   e.Slowness(now, &r.service(e.Entry.Service).seen),
+		})
+	}
+	slices.SortFunc(states, func(a, b EndpointState) int { return cmp.Compare(a.ID, b.ID) })
+	return states
+}
--- /dev/null
+++ b/internal/relay/later.go
@@ -0,0 +1,209 @@
+package relay
+
+import (
+	"time"
+
+	"toucangap/internal/balance"
+	"toucangap/internal/segment"
+)
+
+// later decides on a packet of a flow that should be open.
+func (r *Relay) later(now time.Duration, s segment.Segment, frame []byte) {
+	f := r.flows[s.Flow]
+	if f == nil {
+		f = r.adopt(now, s)
+		if f == nil {
+			return
+		}
+	}
+	f.lastSeen = now
+	switch f.state {
+	case stateOpening:
+		r.opened(now, f, s)
+	case stateEnded:
+		r.late(now, f, s, frame)
+		return
+	}
+	if s.Token != 0 && s.Token != f.endpoint.Entry.Token() {
+		// A second endpoint that answered the first packet changed what the caller
+		// returns; the one whose answer came first holds the flow.
+		r.stats.Contested++
+		r.options.Observer.Contested(now, f.key, f.endpoint.Entry, s.Token)
+	}
+	progress := r.progress(now, f, s)
+	if s.DataBytes > 0 && r.doomed(now, f, progress) {
+		return
+	}
+	r.forward(f.endpoint.Entry, frame)
+	if s.Fin || s.Reset {
+		r.finish(now, f, s)
+	}
+}
+
+// adopt enters a flow that another host placed, or returns nil if the packet
+// leads nowhere.
+func (r *Relay) adopt(now time.Duration, s segment.Segment) *flow {
+	if s.Token == 0 {
+		r.drop(now, s.Flow, DropNoToken)
+		return nil
+	}
+	e := r.endpoints[s.Token]
+	if e == nil {
+		r.drop(now, s.Flow, DropUnknownEndpoint)
+		return nil
+	}
+	route := r.view.Route(s.Flow.Service)
+	if route == nil {
+		r.noRoute(now, s)
+		return nil
+	}
+	if !r.history.permits(now, route, e.Entry.Service) {
+		r.drop(now, s.Flow, DropForeignService)
+		return nil
+	}
+	f := r.newFlow(now, s.Flow)
+	f.adopted = true
+	f.state = stateOpen
+	f.service = r.service(e.Entry.Service)
+	f.route, f.timeout, f.target = route.Name, route.Timeout, route.Target
+	f.acknowledged = s.Acknowledgement
+	f.sent = s.Sequence
+	f.attach(e)
+	r.schedule(f, now+r.idle())
+	r.stats.Adopted++
+	r.options.Observer.Adopted(now, s.Flow, e.Entry)
+	return f
+}
+
+// noRoute answers a packet of an unknown flow to an address without a route.
+// A reset is not answered, so that two hosts never answer each other.
+func (r *Relay) noRoute(now time.Duration, s segment.Segment) {
+	if s.DataBytes == 0 || s.Reset {
+		r.drop(now, s.Flow, DropNoRoute)
+		return
+	}
+	r.reject(now, Placement{Flow: s.Flow}, s.Acknowledgement, RejectRouteRemoved)
+}
+
+// opened takes the caller's reaction to an endpoint's acceptance. Its token
+// names the endpoint whose acceptance came first.
+func (r *Relay) opened(now time.Duration, f *flow, s segment.Segment) {
+	winner := r.endpoints[s.Token]
+	if winner == nil || winner.Entry.Service != f.service.name {
+		winner = f.endpoint
+	}
+	if winner != f.endpoint {
+		f.detach()
+		f.attach(winner)
+	}
+	f.state = stateOpen
+	f.acknowledged = s.Acknowledgement
+	took := now - f.sentAt
+	if f.tries == 1 && winner == f.tried[0] {
+		r.patience.add(took)
+		r.options.Observer.Accepted(took)
+	}
+	r.alive(now, f)
+}
+
+// alive takes a sign of life of the flow's endpoint.
+func (r *Relay) alive(now time.Duration, f *flow) {
+	if f.endpoint.Alive(now, &f.service.seen) {
+		r.options.Observer.Recovered(now, f.endpoint)
+	}
+}
+
+// progress takes what the packet shows: new data is a request, a new
+// acknowledgement means that the endpoint has sent something. It reports the
+// latter.
+func (r *Relay) progress(now time.Duration, f *flow, s segment.Segment) bool {
+	advanced := s.Ack && segment.After(s.Acknowledgement, f.acknowledged)
+	if advanced {
+		f.acknowledged = s.Acknowledgement
+		r.alive(now, f)
+		if f.waiting {
+			r.answered(now, f)
+		}
+	}
+	if s.DataBytes > 0 && segment.After(s.End(), f.sent) {
+		f.sent = s.End()
+		f.requestAt = now
+		f.setWaiting(true)
+	}
+	return advanced
+}
+
+func (r *Relay) answered(now time.Duration, f *flow) {
+	took := now - f.requestAt
+	f.setWaiting(false)
+	f.endpoint.Answered(now, took, &f.service.seen)
+	r.options.Observer.Answered(took)
+}
+
+// late takes a packet of a flow that has ended, such as a repeated FIN. Where
+// the host has ended the flow, its reset may have been lost.
+func (r *Relay) late(now time.Duration, f *flow, s segment.Segment, frame []byte) {
+	if f.cut && !s.Reset {
+		r.options.Output.Reset(f.key, s.Acknowledgement)
+		return
+	}
+	r.forward(f.endpoint.Entry, frame)
+}
+
+// doomed ends a flow whose data can't be of use: its endpoint is held for dead,
+// or its route is gone. Packets without data still pass on a removed route, so
+// that answers in progress arrive whole.
+func (r *Relay) doomed(now time.Duration, f *flow, progress bool) bool {
+	switch {
+	case !progress && f.endpoint.Dead(&f.service.seen):
+		r.endDead(now, f)
+		return true
+	case r.view.Route(f.key.Service) == nil:
+		r.endFlow(now, f, RejectRouteRemoved)
+		return true
+	}
+	return false
+}
+
+// endDead resets a flow at a dead endpoint, so that its caller learns at once
+// that no answer will come.
+func (r *Relay) endDead(now time.Duration, f *flow) {
+	r.endFlow(now, f, RejectDeadEndpoint)
+}
+
+// endFlow resets an open flow.
+func (r *Relay) endFlow(now time.Duration, f *flow, reason Rejection) {
+	p := r.placement(f.key, f.route, f.service.name)
+	p.Endpoint = f.endpoint.Entry
+	p.Waited = now - f.begun
+	p.Choice = balance.Choice{Endpoint: f.endpoint}
+	r.reject(now, p, f.acknowledged, reason)
+	f.cut = true
+	f.end(now)
+	r.schedule(f, now+endedFor)
+}
+
+// finish ends a flow that its caller has closed.
+func (r *Relay) finish(now time.Duration, f *flow, s segment.Segment) {
+	if f.waiting {
+		r.stats.Unanswered++
+	}
+	cause := "fin"
+	if s.Reset {
+		cause = "reset"
+	}
+	r.options.Observer.Ended(now, r.ending(now, f, cause))
+	f.end(now)
+	r.schedule(f, now+endedFor)
+}
+
+func (r *Relay) ending(now time.Duration, f *flow, cause string) Ending {
+	return Ending{
+		Flow:     f.key,
+		Route:    f.route,
+		Endpoint: f.endpoint.Entry,
+		Lasted:   now - f.begun,
+		Answered: !f.waiting,
+		Cause:    cause,
+	}
+}
--- /dev/null
+++ b/internal/relay/observe.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"time"
+
+	"toucangap/internal/balance"
+	"toucangap/internal/catalog"
+)
+
+// Drop is why a packet was dropped without an answer.
+type Drop uint8
+
+// The reasons for dropping a packet.
+const (
+	DropLooped Drop = iota
+	DropNoConfiguration
+	DropNoToken
+	DropUnknownEndpoint
+	DropForeignService
+	DropNoRoute
+	DropEnded
+	dropReasons
+)
+
+var dropNames = [dropReasons]string{
+	"looped", "no_configuration", "no_token", "unknown_endpoint", "foreign_service", "no_route", "ended",
+}
+
+// String returns the reason as used in logs and metrics.
+func (d Drop) String() string { return dropNames[d] }
+
+// Rejection is why a flow was reset.
+type Rejection uint8
+
+// The reasons for resetting a flow.
+const (
+	// RejectNoRoute: the configuration has no route to the address.
+	RejectNoRoute Rejection = iota
+	// RejectNoEndpoint: no endpoint of the route's services takes flows.
+	RejectNoEndpoint
+	// RejectOverload: the answer would come after the caller's timeout.
+	RejectOverload
+	// RejectDeadEndpoint: the flow's endpoint is held for dead.
+	RejectDeadEndpoint
+	// RejectRouteRemoved: a configuration removed the flow's route.
+	RejectRouteRemoved
+	rejections
+)
+
+var rejectionNames = [rejections]string{
+	"no_route", "no_endpoint", "overload", "dead_endpoint", "route_removed",
+}
+
+// String returns the reason as used in logs and metrics.
+func (r Rejection) String() string { return rejectionNames[r] }
+
+// Placement is a decision on a first packet with what decided it.
+type Placement struct {
+	Flow     catalog.Flow
+	Route    string
+	Service  string
+	Endpoint *catalog.Entry
+	// Try counts from 1; Copy is how many copies the caller had sent before.
+	Try  int
+	Copy uint32
+	// Waited is the time since the first packet was first forwarded.
+	Waited  time.Duration
+	Choice  balance.Choice
+	Version uint64
+	// Revision is that of the view.
+	Revision uint64
+}
+
+// Ending is a flow that ended by itself.
+type Ending struct {
+	Flow     catalog.Flow
+	Route    string
+	Endpoint *catalog.Entry
+	// Lasted is the time since the first packet or since the host first saw the
+	// flow.
+	Lasted time.Duration
+	// Answered tells that all requests that were seen had at least the beginning
+	// of an answer.
+	Answered bool
+	// Cause is "fin", "reset" or "idle".
+	Cause string
+}
+
+// Observer is told each decision. It must not block.
+type Observer interface {
+	Placed(now time.Duration, p Placement)
+	Rejected(now time.Duration, p Placement, reason Rejection)
+	Dropped(now time.Duration, f catalog.Flow, reason Drop)
+	Ended(now time.Duration, e Ending)
+	// Adopted: a flow that another host placed is seen for the first time.
+	Adopted(now time.Duration, f catalog.Flow, e *catalog.Entry)
+	// Contested: a caller's packet names another endpoint than the one that
+	// holds its flow.
+	Contested(now time.Duration, f catalog.Flow, holder *catalog.Entry, named catalog.Token)
+	// Suspected: an endpoint left a first packet without a reaction; dead tells
+	// that it is now held for dead.
+	Suspected(now time.Duration, f catalog.Flow, e *balance.Endpoint, waited time.Duration, dead bool)
+	Recovered(now time.Duration, e *balance.Endpoint)
+	// Accepted and Answered are times for histograms.
+	Accepted(took time.Duration)
+	Answered(took time.Duration)
+}
+
+// Stats are the relay's counters since its start.
+type Stats struct {
+	Packets    int64
+	Forwarded  int64
+	Placed     int64
+	SentOn     int64
+	Adopted    int64
+	Contested  int64
+	Evicted    int64
+	Repeated   int64
+	Unanswered int64
+	Drops      [dropReasons]int64
+	Rejections [rejections]int64
+	// Flows is the number of flows that are kept now.
+	Flows int64
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,183 @@
+// Package relay decides on the packets of callers: which endpoint a new flow
+// goes to, where later packets go, what is rejected and which flows are ended.
+// It is pure: packets, views and the time come in, packets and decisions go out.
+//
+// A flow carries its endpoint's token in every packet, so that any host
+// forwards it without having seen it before. What is kept here about flows only
+// serves what a token can't tell: first packets without a reaction, loads, and
+// which of two endpoints that both answered a first packet holds the flow.
+package relay
+
+import (
+	"container/heap"
+	"time"
+
+	"toucangap/internal/balance"
+	"toucangap/internal/catalog"
+	"toucangap/internal/segment"
+)
+
+// Output takes what the relay sends.
+type Output interface {
+	// Forward sends a frame, room for the intended recipient followed by a
+	// packet, to the endpoint.
+	Forward(e *catalog.Entry, frame []byte)
+	// Reset ends a flow towards its caller, whose last acknowledgement is given.
+	Reset(flow catalog.Flow, lastAcknowledgement uint32)
+}
+
+// Options set up a Relay.
+type Options struct {
+	Domain string
+	// MaxFlows bounds the flows that are kept.
+	MaxFlows int
+	// FlowLifetime is how long a flow may last.
+	FlowLifetime time.Duration
+	Output       Output
+	Observer     Observer
+}
+
+// Relay is the state of one traffic goroutine.
+type Relay struct {
+	options Options
+	started time.Duration
+
+	view      *catalog.View
+	endpoints map[catalog.Token]*balance.Endpoint
+	services  map[string]*service
+	history   history
+
+	flows    map[catalog.Flow]*flow
+	timers   timerHeap
+	free     []*flow
+	patience patience
+	stats    Stats
+}
+
+// service is a service with its endpoints that take new flows.
+type service struct {
+	name       string
+	seen       balance.Service
+	candidates []*balance.Endpoint
+}
+
+// New returns a relay that starts at the given time without a view.
+func New(o Options, now time.Duration) *Relay {
+	return &Relay{
+		options:   o,
+		started:   now,
+		endpoints: make(map[catalog.Token]*balance.Endpoint),
+		services:  make(map[string]*service),
+		history:   newHistory(now, o.FlowLifetime),
+		flows:     make(map[catalog.Flow]*flow),
+		patience:  newPatience(),
+	}
+}
+
+// SetView replaces the view.
+func (r *Relay) SetView(now time.Duration, v *catalog.View) {
+	r.view = v
+	r.history.update(now, v)
+	r.takeEndpoints(v)
+	r.takeServices(v)
+}
+
+// takeEndpoints enters new endpoints and drops those that the view has
+// forgotten.
+func (r *Relay) takeEndpoints(v *catalog.View) {
+	for _, entry := range v.Entries() {
+		token := entry.Token()
+		known := r.endpoints[token]
+		if known == nil {
+			r.endpoints[token] = &balance.Endpoint{Entry: entry}
+			continue
+		}
+		if entry.StartedUnixMs != known.Entry.StartedUnixMs || entry.ID != known.Entry.ID {
+			// Another process: nothing that was seen before holds.
+			known.Forgive()
+		}
+		known.Entry = entry
+	}
+	for token, e := range r.endpoints {
+		if v.ByToken(token) == nil && e.Open == 0 {
+			delete(r.endpoints, token)
+		}
+	}
+}
+
+func (r *Relay) takeServices(v *catalog.View) {
+	for _, s := range r.services {
+		s.candidates = s.candidates[:0]
+	}
+	if v.Configuration == nil {
+		return
+	}
+	for name := range v.Configuration.Services {
+		s := r.service(name)
+		for _, entry := range v.Open(name) {
+			s.candidates = append(s.candidates, r.endpoints[entry.Token()])
+		}
+	}
+}
+
+// service returns the state of a service, new if need be.
+func (r *Relay) service(name string) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{name: name}
+		r.services[name] = s
+	}
+	return s
+}
+
+// Packet takes a packet from a caller; frame is room for the recipient followed
+// by the packet, and belongs to the caller of this method again afterwards.
+func (r *Relay) Packet(now time.Duration, s segment.Segment, frame []byte) {
+	r.stats.Packets++
+	switch {
+	case s.Forwarded:
+		r.drop(now, s.Flow, DropLooped)
+	case r.view == nil || r.view.Configuration == nil:
+		r.drop(now, s.Flow, DropNoConfiguration)
+	case s.Syn:
+		r.first(now, s, frame)
+	default:
+		r.later(now, s, frame)
+	}
+}
+
+func (r *Relay) drop(now time.Duration, f catalog.Flow, reason Drop) {
+	r.stats.Drops[reason]++
+	r.options.Observer.Dropped(now, f, reason)
+}
+
+// Resume takes note that the host has not run for a while: what did not react
+// meanwhile is not to blame for it.
+func (r *Relay) Resume(now time.Duration) {
+	for _, e := range r.endpoints {
+		e.Forgive()
+	}
+	for _, f := range r.flows {
+		if f.state == stateOpening {
+			f.sentAt = now
+			f.due = now + r.patience.wait()
+		}
+	}
+	heap.Init(&r.timers)
+}
+
+// OpenFlows returns the number of flows that have not ended.
+func (r *Relay) OpenFlows() int {
+	open := 0
+	for _, e := range r.endpoints {
+		open += e.Open
+	}
+	return open
+}
+
+// Stats returns the counters.
+func (r *Relay) Stats() Stats {
+	s := r.stats
+	s.Flows = int64(len(r.flows))
+	return s
+}
--- /dev/null
+++ b/internal/relay/tick.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"time"
+
+	"toucangap/internal/balance"
+)
+
+// idleWithoutLimit is used while the configuration gives no limit.
+const idleWithoutLimit = 15 * time.Second
+
+// idle returns how long a flow may be silent before it is forgotten.
+func (r *Relay) idle() time.Duration {
+	if r.view.Configuration.IdleTimeout > 0 {
+		return r.view.Configuration.IdleTimeout
+	}
+	return idleWithoutLimit
+}
+
+// NextDue returns when Tick has something to do; ok is false if never.
+func (r *Relay) NextDue() (due time.Duration, ok bool) {
+	if len(r.timers) == 0 {
+		return 0, false
+	}
+	return r.timers[0].due, true
+}
+
+// Tick does what is due. Call it only when all packets that have arrived were
+// taken: a reaction may be among them.
+func (r *Relay) Tick(now time.Duration) {
+	for len(r.timers) > 0 && r.timers[0].due <= now {
+		f := r.timers[0]
+		switch f.state {
+		case stateOpening:
+			r.unanswered(now, f)
+		case stateOpen:
+			r.review(now, f)
+		case stateEnded:
+			r.forget(f)
+		}
+	}
+}
+
+// unanswered takes note that a first packet had no reaction in time and sends
+// it to another endpoint.
+func (r *Relay) unanswered(now time.Duration, f *flow) {
+	if f.lastTry() {
+		r.schedule(f, f.begun+f.timeout+endedFor)
+		if now >= f.begun+f.timeout {
+			r.forget(f)
+		}
+		return
+	}
+	dead := f.endpoint.Silent(now, f.sentAt, &f.service.seen)
+	r.options.Observer.Suspected(now, f.key, f.endpoint, now-f.sentAt, dead)
+	if dead {
+		r.endFlowsOf(now, f.endpoint)
+	}
+	f.judged = f.tries
+	r.schedule(f, now+r.patience.wait())
+	if f.firstLength > 0 {
+		r.sendOn(now, f, 0, f.firstPacket[:f.firstLength])
+	}
+}
+
+// endFlowsOf resets the flows that wait for an endpoint held for dead.
+func (r *Relay) endFlowsOf(now time.Duration, e *balance.Endpoint) {
+	for _, f := range r.flows {
+		if f.endpoint == e && f.state == stateOpen && f.waiting {
+			r.endDead(now, f)
+		}
+	}
+}
+
+// review looks at an open flow after its last due time.
+func (r *Relay) review(now time.Duration, f *flow) {
+	if f.waiting && now >= f.requestAt+f.timeout {
+		// The caller has given up; the endpoint's slot may well be free.
+		r.stats.Unanswered++
+		f.setWaiting(false)
+	}
+	idleAt := f.lastSeen + r.idle()
+	if now >= idleAt || now >= f.begun+r.options.FlowLifetime {
+		r.options.Observer.Ended(now, r.ending(now, f, "idle"))
+		r.forget(f)
+		return
+	}
+	next := idleAt
+	if f.waiting {
+		next = min(next, f.requestAt+f.timeout)
+	}
+	r.schedule(f, max(next, now+time.Millisecond))
+}
--- /dev/null
+++ b/internal/relayd/control.go
@@ -0,0 +1,145 @@
+package relayd
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"toucangap/internal/catalog"
+	"toucangap/internal/follow"
+)
+
+// control owns the keeper. Others reach it through functions that run on its
+// goroutine, and read its published view.
+type control struct {
+	clock  *clock
+	keeper *follow.Keeper
+	tasks  chan func()
+	view   atomic.Pointer[catalog.View]
+	// provenAwake is the moment up to which nothing was missed.
+	provenAwake atomic.Int64
+	// published is called after each new view.
+	published func()
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+func newControl(c *clock, logger *slog.Logger, flowLifetime, history time.Duration) *control {
+	return &control{
+		clock:   c,
+		keeper:  follow.NewKeeper(logger, flowLifetime, history),
+		tasks:   make(chan func()),
+		changed: make(chan struct{}),
+	}
+}
+
+// run carries out tasks until the context ends.
+func (c *control) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case task := <-c.tasks:
+			task()
+		case <-timer.C:
+		}
+		next, changed := c.keeper.Expire(c.clock.Steady())
+		if changed {
+			c.publish()
+		}
+		if next > 0 {
+			timer.Reset(max(time.Millisecond, next-c.clock.Steady()))
+		}
+	}
+}
+
+// do runs a task on the control goroutine and waits for it. It reports whether
+// the task ran.
+func (c *control) do(ctx context.Context, task func()) bool {
+	done := make(chan struct{})
+	select {
+	case c.tasks <- func() { task(); close(done) }:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// take applies a batch.
+func (c *control) take(ctx context.Context, b follow.Batch) {
+	c.do(ctx, func() {
+		before := c.keeper.Revision()
+		changed := c.keeper.Apply(c.clock.Steady(), b)
+		proven, _ := c.keeper.Proven()
+		c.provenAwake.Store(int64(proven))
+		if changed {
+			c.publish()
+		}
+		if changed || c.keeper.Revision() != before {
+			c.notify()
+		}
+	})
+}
+
+// publish makes the present state the view of the traffic goroutine.
+func (c *control) publish() {
+	c.view.Store(c.keeper.View(c.clock.Steady()))
+	c.published()
+}
+
+// notify wakes those who wait for a change.
+func (c *control) notify() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Changed implements feed.Source.
+func (c *control) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Since implements feed.Source.
+func (c *control) Since(ctx context.Context, revision uint64) (follow.Batch, error) {
+	var b follow.Batch
+	if !c.do(ctx, func() { b = c.keeper.Since(c.clock.Steady(), revision) }) {
+		return b, context.Cause(ctx)
+	}
+	return b, nil
+}
+
+// Secret implements feed.Source.
+func (c *control) Secret(ctx context.Context) (secret []byte) {
+	c.do(ctx, func() { secret = c.keeper.Secret() })
+	return secret
+}
+
+// hosts returns the registered hosts.
+func (c *control) hosts(ctx context.Context) (hosts []follow.Host) {
+	c.do(ctx, func() { hosts = c.keeper.Hosts() })
+	return hosts
+}
+
+// revision returns the store's revision up to which the state is complete.
+func (c *control) revision(ctx context.Context) (revision uint64) {
+	c.do(ctx, func() { revision = c.keeper.Revision() })
+	return revision
+}
+
+// age returns how long ago the state was proven to be current.
+func (c *control) age() time.Duration {
+	return c.clock.Awake() - time.Duration(c.provenAwake.Load())
+}
--- /dev/null
+++ b/internal/relayd/limiter.go
@@ -0,0 +1,35 @@
+package relayd
+
+import "time"
+
+// limiter bounds the lines of one kind of event. It serves one goroutine.
+type limiter struct {
+	perSecond float64
+	burst     float64
+	tokens    float64
+	last      time.Duration
+	left      int64
+}
+
+func newLimiter(perSecond, burst float64) *limiter {
+	return &limiter{perSecond: perSecond, burst: burst, tokens: burst}
+}
+
+// allow reports whether a line may be written now, and counts it if not.
+func (l *limiter) allow(now time.Duration) bool {
+	l.tokens = min(l.burst, l.tokens+(now-l.last).Seconds()*l.perSecond)
+	l.last = now
+	if l.tokens < 1 {
+		l.left++
+		return false
+	}
+	l.tokens--
+	return true
+}
+
+// takeLeftOut returns the number of lines left out since the last call.
+func (l *limiter) takeLeftOut() int64 {
+	n := l.left
+	l.left = 0
+	return n
+}
--- /dev/null
+++ b/internal/relayd/measures.go
@@ -0,0 +1,57 @@
+package relayd
+
+import (
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+
+	"toucangap/internal/relay"
+)
+
+// register adds a metric under a name that is used once.
+func register(registry metrics.Registry, name string, metric any) {
+	if err := registry.Register(name, metric); err != nil {
+		panic(fmt.Sprintf("metric registered twice: %s", name))
+	}
+}
+
+// gauges publishes counters that others keep, when they are read.
+func (d *Daemon) gauges(registry metrics.Registry) {
+	functional := func(name string, value func() int64) {
+		register(registry, name, metrics.NewFunctionalGauge(value))
+	}
+	functional("store_calls", d.store.Calls)
+	functional("log_lines_lost", d.lines.Lost)
+	functional("packets_malformed", d.traffic.malformed.Load)
+	functional("datagrams_not_sent", d.traffic.sendErrors.Load)
+	functional("view_age_milliseconds", func() int64 { return d.control.age().Milliseconds() })
+	functional("view_revision", func() int64 {
+		if v := d.control.view.Load(); v != nil {
+			return int64(v.Revision)
+		}
+		return 0
+	})
+}
+
+// relayGauges adds the relay's counters, taken at one moment.
+func relayGauges(registry metrics.Registry, s *relay.Stats) {
+	set := func(name string, value int64) {
+		metrics.GetOrRegisterGauge(name, registry).Update(value)
+	}
+	set("packets", s.Packets)
+	set("packets_forwarded", s.Forwarded)
+	set("packets_contested", s.Contested)
+	set("flows", s.Flows)
+	set("flows_placed", s.Placed)
+	set("flows_sent_on", s.SentOn)
+	set("flows_adopted", s.Adopted)
+	set("flows_evicted", s.Evicted)
+	set("first_packets_repeated", s.Repeated)
+	set("requests_unanswered", s.Unanswered)
+	for reason, n := range s.Drops {
+		set("packets_dropped_"+relay.Drop(reason).String(), n)
+	}
+	for reason, n := range s.Rejections {
+		set("flows_reset_"+relay.Rejection(reason).String(), n)
+	}
+}
--- /dev/null
+++ b/internal/relayd/observer.go
@@ -0,0 +1,188 @@
+package relayd
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"toucangap/internal/balance"
+	"toucangap/internal/catalog"
+	"toucangap/internal/event"
+	"toucangap/internal/relay"
+)
+
+// The bounds of log lines on flows, in lines a second and at once. Routine
+// lines of a host at its usual load fit; in a crowd the rest is counted.
+const (
+	routineLines = 250
+	routineBurst = 500
+	// noteworthyLines are for decisions that a caller notices.
+	noteworthyLines = 150
+	noteworthyBurst = 600
+	// summaryInterval is how often lines that were left out are reported.
+	summaryInterval = 5 * time.Second
+)
+
+// The bounds of the histograms' samples; the decay favours the last minutes.
+const (
+	sampleSize  = 256
+	sampleDecay = 0.015
+)
+
+// observer writes the relay's decisions to the log and the histograms. It
+// serves the traffic goroutine.
+type observer struct {
+	logger     *slog.Logger
+	age        func() time.Duration
+	routine    *limiter
+	noteworthy *limiter
+	summaryAt  time.Duration
+	accept     metrics.Histogram
+	answer     metrics.Histogram
+}
+
+func newObserver(logger *slog.Logger, age func() time.Duration, registry metrics.Registry) *observer {
+	o := &observer{
+		logger:     logger,
+		age:        age,
+		routine:    newLimiter(routineLines, routineBurst),
+		noteworthy: newLimiter(noteworthyLines, noteworthyBurst),
+		accept:     metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay)),
+		answer:     metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay)),
+	}
+	register(registry, "flow_accept_microseconds", o.accept)
+	register(registry, "request_answer_microseconds", o.answer)
+	return o
+}
+
+// allows reports whether a line may be written, and reports left out ones.
+func (o *observer) allows(now time.Duration, l *limiter) bool {
+	if now >= o.summaryAt+summaryInterval {
+		o.summaryAt = now
+		o.summarize()
+	}
+	return l.allow(now)
+}
+
+func (o *observer) summarize() {
+	routine, noteworthy := o.routine.takeLeftOut(), o.noteworthy.takeLeftOut()
+	if routine+noteworthy > 0 {
+		event.Log(o.logger, event.LinesSuppressed, slog.Int64("routine", routine), slog.Int64("noteworthy", noteworthy))
+	}
+}
+
+// placementAttrs are the inputs of a decision on a first packet.
+func placementAttrs(p *relay.Placement, more ...slog.Attr) []slog.Attr {
+	attrs := []slog.Attr{
+		slog.String("flow", p.Flow.String()),
+		slog.String("route", p.Route),
+		slog.String("service", p.Service),
+		slog.Uint64("version", p.Version),
+		slog.Uint64("revision", p.Revision),
+		slog.Uint64("copy", uint64(p.Copy)),
+	}
+	if e := p.Choice.Endpoint; e != nil {
+		attrs = append(attrs,
+			slog.String("endpoint", e.Entry.ID),
+			slog.Int("busy", e.Busy),
+			slog.Int("candidates", p.Choice.Candidates),
+			slog.Int("suspects", p.Choice.Suspects),
+			slog.Duration("expected", p.Choice.Expected))
+	}
+	return append(attrs, more...)
+}
+
+// Placed implements relay.Observer.
+func (o *observer) Placed(now time.Duration, p relay.Placement) {
+	if p.Try == 1 && p.Copy == 0 {
+		if o.allows(now, o.routine) {
+			event.Log(o.logger, event.FlowPlaced, placementAttrs(&p, slog.Bool("trial", p.Choice.Trial))...)
+		}
+		return
+	}
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.FlowSentOn, placementAttrs(&p, slog.Int("try", p.Try), slog.Duration("waited", p.Waited))...)
+	}
+}
+
+// Rejected implements relay.Observer.
+func (o *observer) Rejected(now time.Duration, p relay.Placement, reason relay.Rejection) {
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.FlowRejected, placementAttrs(&p,
+			slog.String("reason", reason.String()), slog.Duration("waited", p.Waited), slog.Duration("view_age", o.age()))...)
+	}
+}
+
+// Dropped implements relay.Observer.
+func (o *observer) Dropped(now time.Duration, f catalog.Flow, reason relay.Drop) {
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.PacketDropped, slog.String("flow", f.String()),
+			slog.String("reason", reason.String()), slog.Duration("view_age", o.age()))
+	}
+}
+
+// malformed reports a datagram that is no packet.
+func (o *observer) malformed(now time.Duration, length int, err error) {
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.PacketDropped, slog.Int("bytes", length), slog.String("reason", err.Error()))
+	}
+}
+
+// Ended implements relay.Observer.
+func (o *observer) Ended(now time.Duration, e relay.Ending) {
+	limit := o.routine
+	if !e.Answered {
+		limit = o.noteworthy
+	}
+	if o.allows(now, limit) {
+		event.Log(o.logger, event.FlowClosed, slog.String("flow", e.Flow.String()), slog.String("route", e.Route),
+			slog.String("endpoint", e.Endpoint.ID), slog.Duration("lasted", e.Lasted),
+			slog.Bool("answered", e.Answered), slog.String("cause", e.Cause))
+	}
+}
+
+// Adopted implements relay.Observer.
+func (o *observer) Adopted(now time.Duration, f catalog.Flow, e *catalog.Entry) {
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.FlowAdopted, slog.String("flow", f.String()), slog.String("endpoint", e.ID),
+			slog.Bool("listed", e.Listed), slog.Uint64("entry_revision", e.Revision))
+	}
+}
+
+// Contested implements relay.Observer.
+func (o *observer) Contested(now time.Duration, f catalog.Flow, holder *catalog.Entry, named catalog.Token) {
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.FlowContested, slog.String("flow", f.String()),
+			slog.String("endpoint", holder.ID), slog.Uint64("named", uint64(named)))
+	}
+}
+
+// Suspected implements relay.Observer.
+func (o *observer) Suspected(now time.Duration, f catalog.Flow, e *balance.Endpoint, waited time.Duration, dead bool) {
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.EndpointSuspected, slog.String("endpoint", e.Entry.ID),
+			slog.String("flow", f.String()), slog.Duration("waited", waited),
+			slog.Int("unanswered", e.Unanswered()), slog.Bool("dead", dead))
+	}
+}
+
+// Recovered implements relay.Observer.
+func (o *observer) Recovered(now time.Duration, e *balance.Endpoint) {
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.EndpointRecovered, slog.String("endpoint", e.Entry.ID))
+	}
+}
+
+// Accepted implements relay.Observer.
+func (o *observer) Accepted(took time.Duration) { o.accept.Update(took.Microseconds()) }
+
+// Answered implements relay.Observer.
+func (o *observer) Answered(took time.Duration) { o.answer.Update(took.Microseconds()) }
+
+// paused reports that the process stood still.
+func (o *observer) paused(now, gap time.Duration) {
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.HostPaused, slog.Duration("gap", gap))
+	}
+}
--- /dev/null
+++ b/internal/relayd/queries.go
@@ -0,0 +1,173 @@
+package relayd
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucangap/internal/admin"
+	"toucangap/internal/adminapi"
+	"toucangap/internal/catalog"
+	"toucangap/internal/relay"
+)
+
+// errNoRoute tells that a query names no route.
+var errNoRoute = merry.Sentinel("no route of that name or address")
+
+// queries answers operators. It implements admin.Queries.
+type queries struct {
+	daemon *Daemon
+}
+
+// Status implements admin.Queries.
+func (q *queries) Status(ctx context.Context) (adminapi.Status, error) {
+	d := q.daemon
+	s := adminapi.Status{
+		Host:     d.settings.Name,
+		Domain:   d.settings.Domain,
+		State:    "ready",
+		Platform: "reachable",
+	}
+	if ready, reason := d.ready.ready(); !ready {
+		s.State = "unready: " + reason
+	}
+	if d.control.age() > d.pace.MaxAge {
+		s.Platform = "unreachable"
+	}
+	if v := d.control.view.Load(); v != nil && v.Configuration != nil {
+		s.Version = v.Configuration.Version
+	}
+	for _, h := range d.control.hosts(ctx) {
+		s.Hosts = append(s.Hosts, adminapi.HostStatus{Name: h.Name, Domain: h.Domain, State: "registered"})
+	}
+	return s, nil
+}
+
+// Dump implements admin.Queries.
+func (q *queries) Dump(ctx context.Context, limit int) (adminapi.Dump, error) {
+	status, err := q.Status(ctx)
+	if err != nil {
+		return adminapi.Dump{}, err
+	}
+	dump := adminapi.Dump{Status: status, Reasons: make(map[string]int64), Totals: make(map[string]int64)}
+	t := q.daemon.traffic
+	t.ask(func() {
+		now := t.clock.Steady()
+		dumpRelay(&dump, t.relay, t.relay.Endpoints(now), t.relay.Flows(now, limit))
+	})
+	return dump, nil
+}
+
+func dumpRelay(dump *adminapi.Dump, r *relay.Relay, endpoints []relay.EndpointState, flows []relay.FlowState) {
+	stats := r.Stats()
+	for reason, n := range stats.Drops {
+		dump.Reasons[relay.Drop(reason).String()] = n
+	}
+	for reason, n := range stats.Rejections {
+		dump.Totals["reset_"+relay.Rejection(reason).String()] = n
+	}
+	dump.Totals["packets"] = stats.Packets
+	dump.Totals["placed"] = stats.Placed
+	dump.Totals["sent_on"] = stats.SentOn
+	dump.Totals["adopted"] = stats.Adopted
+	dump.FlowsHeld = int(stats.Flows)
+	dump.Truncated = len(flows) < dump.FlowsHeld
+	services := make(map[string]int)
+	for _, e := range endpoints {
+		i, ok := services[e.Service]
+		if !ok {
+			i = len(dump.Services)
+			services[e.Service] = i
+			dump.Services = append(dump.Services, adminapi.ServiceDump{Name: e.Service})
+		}
+		dump.Services[i].Endpoints = append(dump.Services[i].Endpoints, endpointDump(e))
+	}
+	for _, f := range flows {
+		dump.Flows = append(dump.Flows, adminapi.FlowDump{
+			Fingerprint: f.Flow.String(),
+			Service:     f.Service,
+			Endpoint:    f.Endpoint,
+			Owned:       !f.Adopted,
+			Ended:       endedText(f),
+			IdleMs:      f.Idle.Milliseconds(),
+		})
+	}
+}
+
+func endpointDump(e relay.EndpointState) adminapi.EndpointDump {
+	state := "open"
+	switch {
+	case !e.Listed:
+		state = "removed"
+	case e.Draining:
+		state = "draining"
+	case e.Suspect:
+		state = "suspect"
+	case e.Slowness > 1:
+		state = "slow"
+	}
+	return adminapi.EndpointDump{
+		Name:     e.ID,
+		Domain:   e.Domain,
+		State:    state,
+		Flows:    e.Open,
+		Requests: e.Busy,
+		Silent:   int64(e.Unanswered),
+	}
+}
+
+func endedText(f relay.FlowState) string {
+	switch {
+	case f.Cut:
+		return "reset"
+	case f.State == "ended":
+		return "closed"
+	}
+	return ""
+}
+
+// Flow implements admin.Queries. The service may be a route's name or address.
+func (q *queries) Flow(_ context.Context, query admin.FlowQuery) (adminapi.FlowAnswer, error) {
+	route := findRoute(q.daemon.control.view.Load(), query.Service)
+	if route == nil {
+		return adminapi.FlowAnswer{}, errNoRoute
+	}
+	caller, ok := catalog.AddressFrom(query.Caller)
+	if !ok {
+		return adminapi.FlowAnswer{}, merry.New("the caller needs an IPv4 address")
+	}
+	key := catalog.Flow{Caller: caller, Service: route.Address}
+	answer := adminapi.FlowAnswer{Fingerprint: key.String(), Service: route.Service(key.Hash()), Why: "none"}
+	t := q.daemon.traffic
+	t.ask(func() {
+		f, ok := t.relay.Flow(t.clock.Steady(), key)
+		if !ok {
+			answer.Detail = "this host does not hold the flow; its packets name their endpoint"
+			return
+		}
+		answer.Service, answer.Endpoint, answer.Why = f.Service, f.Endpoint, "flow"
+		answer.Detail = fmt.Sprintf("%s, route %s, idle %s, waiting %t, tried %s, adopted %t",
+			f.State, f.Route, f.Idle, f.Waiting, strings.Join(f.Tried, " "), f.Adopted)
+	})
+	return answer, nil
+}
+
+func findRoute(v *catalog.View, name string) *catalog.Route {
+	if v == nil || v.Configuration == nil {
+		return nil
+	}
+	if parsed, err := netip.ParseAddrPort(name); err == nil {
+		if address, ok := catalog.AddressFrom(parsed); ok {
+			return v.Route(address)
+		}
+	}
+	for i := range v.Configuration.Routes {
+		if v.Configuration.Routes[i].Name == name {
+			return &v.Configuration.Routes[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relayd/ready.go
@@ -0,0 +1,72 @@
+package relayd
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucangap/internal/event"
+	"toucangap/platform"
+)
+
+// readyTimeout bounds a question whether the host is ready.
+const readyTimeout = 2 * time.Second
+
+// readiness answers whether the host takes callers' packets.
+type readiness struct {
+	control  *control
+	logger   *slog.Logger
+	stopping atomic.Bool
+	last     atomic.Bool
+	asked    atomic.Bool
+}
+
+// ready reports whether the host serves at least one route, and why not.
+func (r *readiness) ready() (bool, string) {
+	if r.stopping.Load() {
+		return false, "stopping"
+	}
+	view := r.control.view.Load()
+	if view == nil || view.Configuration == nil {
+		return false, "no configuration"
+	}
+	if !view.Serves() {
+		return false, "no endpoint"
+	}
+	return true, ""
+}
+
+// ServeHTTP implements http.Handler.
+func (r *readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := r.ready()
+	if changed := r.last.Swap(ready) != ready; changed || !r.asked.Swap(true) {
+		if ready {
+			event.Log(r.logger, event.RelayReady, slog.Duration("view_age", r.control.age()))
+		} else {
+			event.Log(r.logger, event.RelayUnready, slog.String("reason", reason))
+		}
+	}
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serve answers until the context ends.
+func (r *readiness) serve(ctx context.Context, listener net.Listener) error {
+	mux := http.NewServeMux()
+	mux.Handle(platform.ReadinessCall, r)
+	server := http.Server{Handler: mux, ReadTimeout: readyTimeout, WriteTimeout: readyTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return merry.Prepend(err, "answer whether the host is ready")
+}
--- /dev/null
+++ b/internal/relayd/relayd.go
@@ -0,0 +1,206 @@
+// Package relayd runs a host that forwards flows by tokens: the traffic
+// goroutine with its relay, the control goroutine with what is known of the
+// configuration and the endpoints, and the goroutines that bring the news.
+package relayd
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"toucangap/internal/admin"
+	"toucangap/internal/event"
+	"toucangap/internal/feed"
+	"toucangap/internal/follow"
+	"toucangap/internal/logbuf"
+	"toucangap/internal/relay"
+	"toucangap/internal/settings"
+	"toucangap/platform"
+)
+
+const (
+	// maxFlows bounds the flows that a host remembers; they take some 400 bytes
+	// each.
+	maxFlows = 100_000
+	// collectPercent is how much the heap may grow between two collections; a
+	// small heap makes collections cheap, and memory is dear on small hosts.
+	collectPercent = 50
+	// memoryShare is the part of the host's memory that the heap may take.
+	memoryShare = 0.6
+	// logPatience bounds the writing of the last lines.
+	logPatience = 200 * time.Millisecond
+)
+
+// Daemon is one host.
+type Daemon struct {
+	settings *settings.Relay
+	pace     follow.Pace
+	clock    *clock
+	lines    *logbuf.Writer
+	logger   *slog.Logger
+	store    *platform.Store
+	control  *control
+	traffic  *traffic
+	ready    *readiness
+	announce *announcer
+	registry metrics.Registry
+
+	readyListener net.Listener
+	feedListener  net.Listener
+	admin         *admin.Server
+}
+
+// New binds the listeners of a host. Log lines go to out.
+func New(s *settings.Relay, out io.Writer, level slog.Level) (*Daemon, error) {
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	d := &Daemon{
+		settings: s,
+		pace:     follow.NewPace(min(s.Bounds.Configuration, s.Bounds.Drain)),
+		clock:    newClock(),
+		lines:    logbuf.New(out),
+		store:    platform.NewStore(s.Store.Address),
+		registry: metrics.NewRegistry(),
+	}
+	d.logger = slog.New(slog.NewTextHandler(d.lines, &slog.HandlerOptions{Level: level}))
+	d.control = newControl(d.clock, d.logger, s.Bounds.FlowLifetime, s.Store.History)
+	d.ready = &readiness{control: d.control, logger: d.logger}
+	host := follow.Host{Name: s.Name, Domain: s.Domain, Feed: s.Listen.Feed}
+	d.announce = &announcer{host: host, store: d.store, control: d.control, logger: d.logger}
+	if err := d.listen(); err != nil {
+		d.lines.Close(logPatience)
+		return nil, err
+	}
+	d.gauges(d.registry)
+	return d, nil
+}
+
+// listen binds all sockets.
+func (d *Daemon) listen() error {
+	conn, err := listenPackets(d.settings.Listen.Packets)
+	if err != nil {
+		return err
+	}
+	d.traffic = &traffic{
+		clock:      d.clock,
+		conn:       conn,
+		control:    d.control,
+		logger:     d.logger,
+		observer:   newObserver(d.logger, d.control.age, d.registry),
+		callerPort: d.settings.Listen.Packets.Port(),
+		questions:  make(chan func(), 1),
+	}
+	d.traffic.relay = relay.New(relay.Options{
+		Domain:       d.settings.Domain,
+		MaxFlows:     maxFlows,
+		FlowLifetime: d.settings.Bounds.FlowLifetime,
+		Output:       d.traffic,
+		Observer:     d.traffic.observer,
+	}, d.clock.Steady())
+	d.control.published = d.traffic.wake
+	if d.readyListener, err = listenTCP(d.settings.Listen.Ready); err != nil {
+		return err
+	}
+	if d.feedListener, err = listenTCP(d.settings.Listen.Feed); err != nil {
+		return err
+	}
+	d.admin, err = admin.New(admin.Options{
+		Address:  d.settings.Listen.Admin,
+		Queries:  &queries{daemon: d},
+		Registry: d.registry,
+		Refresh:  d.refreshMetrics,
+		Logger:   d.logger,
+	})
+	return err
+}
+
+func listenTCP(address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp4", address.String())
+	return listener, merry.Prepend(err, "listen")
+}
+
+func (d *Daemon) refreshMetrics() {
+	d.traffic.ask(func() {
+		stats := d.traffic.relay.Stats()
+		relayGauges(d.registry, &stats)
+	})
+}
+
+// Run serves until the context ends or a part fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.lines.Close(logPatience)
+	event.Log(d.logger, event.ProcessStarted,
+		slog.String("host", d.settings.Name), slog.String("domain", d.settings.Domain),
+		slog.String("packets", d.settings.Listen.Packets.String()),
+		slog.String("feed", d.settings.Listen.Feed.String()),
+		slog.String("store", d.settings.Store.Address.String()))
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(context.Canceled)
+	part := func(run func() error) {
+		go func() {
+			if err := run(); err != nil {
+				cancel(err)
+			}
+		}()
+	}
+	go d.control.run(ctx)
+	part(func() error { return d.ready.serve(ctx, d.readyListener) })
+	part(func() error { return d.admin.Run(ctx) })
+	part(func() error { return d.feedServer().Serve(ctx, d.feedListener) })
+	part(func() error { return d.traffic.run() })
+	go d.source().run(ctx)
+	go d.register(ctx)
+	<-ctx.Done()
+	d.traffic.stop()
+	d.feedListener.Close()
+	err := context.Cause(ctx)
+	if errors.Is(err, context.Canceled) || errors.Is(err, errStopped) {
+		err = nil
+	}
+	event.Log(d.logger, event.ProcessStopped, slog.Bool("failed", err != nil), slog.Any("error", err))
+	return err
+}
+
+func (d *Daemon) feedServer() *feed.Server {
+	return &feed.Server{Source: d.control, Logger: d.logger, Interval: d.pace.Beacon, Awake: d.clock.Awake}
+}
+
+func (d *Daemon) source() *source {
+	s := &source{
+		host:    d.announce.host,
+		clock:   d.clock,
+		control: d.control,
+		pace:    d.pace,
+		logger:  d.logger,
+		rested:  make(map[string]time.Duration),
+	}
+	s.follower = &follow.Follower{
+		Store:  d.store,
+		Pace:   d.pace,
+		Logger: d.logger,
+		Awake:  d.clock.Awake,
+		Take:   func(b follow.Batch) { d.control.take(context.Background(), b) },
+	}
+	return s
+}
+
+// register announces the host once it knows the store's state.
+func (d *Daemon) register(ctx context.Context) {
+	for d.control.revision(ctx) == 0 && ctx.Err() == nil {
+		changed := d.control.Changed()
+		select {
+		case <-changed:
+		case <-time.After(announceRetry):
+		case <-ctx.Done():
+		}
+	}
+	d.announce.run(ctx)
+}
--- /dev/null
+++ b/internal/relayd/source.go
@@ -0,0 +1,122 @@
+package relayd
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"toucangap/internal/event"
+	"toucangap/internal/feed"
+	"toucangap/internal/follow"
+)
+
+// feederRest is how long a host that could not feed this one is left alone.
+const feederRest = 5 * time.Second
+
+// source keeps the control state current: by the feed of another host of the
+// failure domain if there is one that ranks higher, else by the store, and by
+// any other host's feed while the store can't be reached.
+type source struct {
+	host     follow.Host
+	clock    *clock
+	control  *control
+	follower *follow.Follower
+	pace     follow.Pace
+	logger   *slog.Logger
+	// rested is until when a host is left alone, on the steady clock.
+	rested map[string]time.Duration
+	fed    bool
+}
+
+// run follows until the context ends.
+func (s *source) run(ctx context.Context) {
+	event.Log(s.logger, event.FollowingStore)
+	for ctx.Err() == nil {
+		if s.followPeers(ctx) {
+			continue
+		}
+		wait := s.follower.Step(ctx)
+		if s.follower.Lost() && s.control.age() > s.pace.MaxAge && s.askHelper(ctx) {
+			continue
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// followPeers is fed by hosts of the domain for as long as one can. It reports
+// whether one has done so.
+func (s *source) followPeers(ctx context.Context) bool {
+	for _, peer := range follow.Feeders(s.control.hosts(ctx), s.host.Name, s.host.Domain) {
+		if s.resting(peer.Name) {
+			continue
+		}
+		event.Log(s.logger, event.FollowingPeer, slog.String("host", peer.Name))
+		fed := s.follow(ctx, peer, s.pace.MaxAge, ctx)
+		s.rest(peer.Name)
+		event.Log(s.logger, event.FollowingStore)
+		if fed {
+			return true
+		}
+	}
+	return false
+}
+
+// askHelper is fed by some host for as long as the store is worth no try. It
+// reports whether one has helped.
+func (s *source) askHelper(ctx context.Context) bool {
+	for _, peer := range follow.Helpers(s.control.hosts(ctx), s.host.Name, s.host.Domain) {
+		if s.resting(peer.Name) {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, s.pace.MaxAge)
+		helped := s.follow(ctx, peer, s.pace.MaxAge, limited)
+		cancel()
+		if helped {
+			return true
+		}
+		s.rest(peer.Name)
+		return false
+	}
+	return false
+}
+
+// follow takes a peer's feed and reports whether it was of use.
+func (s *source) follow(ctx context.Context, peer follow.Host, maxAge time.Duration, limited context.Context) (useful bool) {
+	client := feed.Client{
+		Host:     s.host.Name,
+		Secret:   s.control.Secret(ctx),
+		Revision: s.control.revision(ctx),
+		Silence:  s.pace.Silence,
+		MaxAge:   maxAge,
+		Awake:    s.clock.Awake,
+		Connected: func() {
+			event.Log(s.logger, event.FeedConnected, slog.String("host", peer.Name))
+		},
+		Take: func(b follow.Batch) {
+			useful = useful || s.clock.Awake()-b.Proven <= maxAge
+			s.control.take(ctx, b)
+			s.follower.Resume(b.Revision)
+		},
+	}
+	err := client.Follow(limited, peer)
+	event.Log(s.logger, event.FeedLost, slog.String("host", peer.Name), slog.String("error", err.Error()),
+		slog.Duration("view_age", s.control.age()))
+	return useful
+}
+
+func (s *source) resting(name string) bool { return s.clock.Steady() < s.rested[name] }
+
+func (s *source) rest(name string) { s.rested[name] = s.clock.Steady() + feederRest }
+
+// sleep waits or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/relayd/stop.go
@@ -0,0 +1,45 @@
+package relayd
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucangap/internal/event"
+)
+
+// errStopped is the cause of a planned end.
+var errStopped = merry.Sentinel("stopped as asked")
+
+const (
+	// leaveRotation is how long routers may go on sending to a host that says
+	// that it is not ready: two questions, asked twice a second, and their way.
+	leaveRotation = 1300 * time.Millisecond
+	// quiet is how long no packet may have come before a host that has left the
+	// rotation ends: longer than callers take to repeat a packet.
+	quiet = 400 * time.Millisecond
+	// quietStep is how often that is looked at.
+	quietStep = 50 * time.Millisecond
+	// stopMargin is kept between the end of a planned stop and SIGKILL.
+	stopMargin = time.Second
+)
+
+// Stop leaves the rotation, forwards packets until none come any more, and
+// returns; the caller then ends Run.
+func (d *Daemon) Stop(ctx context.Context) {
+	begun := d.clock.Steady()
+	event.Log(d.logger, event.StopBegun, slog.Duration("at_most", d.settings.Bounds.Stop-stopMargin))
+	d.ready.stopping.Store(true)
+	go d.announce.withdraw(context.WithoutCancel(ctx))
+	sleep(ctx, min(leaveRotation, d.settings.Bounds.Stop/2))
+	for ctx.Err() == nil {
+		now := d.clock.Steady()
+		since := now - time.Duration(d.traffic.lastPacket.Load())
+		if since >= quiet || now-begun >= d.settings.Bounds.Stop-stopMargin {
+			return
+		}
+		sleep(ctx, quietStep)
+	}
+}
--- /dev/null
+++ b/internal/relayd/traffic.go
@@ -0,0 +1,208 @@
+package relayd
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucangap/internal/catalog"
+	"toucangap/internal/event"
+	"toucangap/internal/relay"
+	"toucangap/platform"
+)
+
+const (
+	// receiveBuffer is the socket's buffer in bytes: what arrives while the
+	// process waits for its turn on a thin host.
+	receiveBuffer = 1 << 20
+	// settle is how long the socket has to be empty before a timer counts: what
+	// it waits for may have arrived and not been read.
+	settle = 500 * time.Microsecond
+	// idleWake is the longest time between two looks at the clock, by which a
+	// pause of the process shows.
+	idleWake = 250 * time.Millisecond
+	// pauseThreshold is the time between two looks at the clock from which the
+	// process counts as paused; it is longer than a turn that a thin host may
+	// have to wait for.
+	pauseThreshold = time.Second
+)
+
+// traffic owns the relay and the socket of callers' packets.
+type traffic struct {
+	clock    *clock
+	conn     *net.UDPConn
+	relay    *relay.Relay
+	control  *control
+	logger   *slog.Logger
+	observer *observer
+	// callerPort is the port at which callers take packets.
+	callerPort uint16
+	// questions run on the traffic goroutine, for dumps.
+	questions chan func()
+	stopping  atomic.Bool
+
+	view      *catalog.View
+	lastLook  time.Duration
+	lastCheck time.Duration
+	// lastSlept is how long the machine has slept in all.
+	lastSlept time.Duration
+	// lastPacket is when a packet came last, in nanoseconds of the steady clock.
+	lastPacket atomic.Int64
+	malformed  atomic.Int64
+	sendErrors atomic.Int64
+	reset      []byte
+}
+
+func listenPackets(address netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, merry.Prepend(err, "listen for callers' packets")
+	}
+	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
+		conn.Close()
+		return nil, merry.Prepend(err, "set the socket's buffer")
+	}
+	return conn, nil
+}
+
+// run takes packets until stop.
+func (t *traffic) run() error {
+	frame := make([]byte, platform.IntendedBytes+platform.MaxPacket+1)
+	t.lastLook = t.clock.Steady()
+	t.lastCheck, t.lastSlept = t.lastLook, t.clock.Awake()-t.lastLook
+	for !t.stopping.Load() {
+		t.answerQuestions()
+		if err := t.conn.SetReadDeadline(t.deadline()); err != nil {
+			return merry.Prepend(err, "set a deadline")
+		}
+		n, _, err := t.conn.ReadFromUDPAddrPort(frame[platform.IntendedBytes:])
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			n, err = t.readLate(frame)
+		}
+		now := t.look()
+		switch {
+		case err == nil:
+			t.packet(now, frame, n)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			t.relay.Tick(now)
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			return merry.Prepend(err, "read callers' packets")
+		}
+	}
+	return nil
+}
+
+// readLate looks once more for a packet after a deadline has passed: a read
+// whose deadline is over does not look at the socket.
+func (t *traffic) readLate(frame []byte) (int, error) {
+	if err := t.conn.SetReadDeadline(time.Now().Add(settle)); err != nil {
+		return 0, merry.Prepend(err, "set a deadline")
+	}
+	n, _, err := t.conn.ReadFromUDPAddrPort(frame[platform.IntendedBytes:])
+	return n, err
+}
+
+// deadline returns until when to wait for a packet.
+func (t *traffic) deadline() time.Time {
+	now := t.clock.Steady()
+	wait := idleWake
+	if due, ok := t.relay.NextDue(); ok {
+		wait = min(wait, max(0, due-now))
+	}
+	return t.clock.started.Add(now + wait)
+}
+
+// look reads the clock and takes a new view if there is one.
+func (t *traffic) look() time.Duration {
+	now := t.clock.Steady()
+	if now-t.lastCheck >= idleWake {
+		t.checkPause(now)
+	}
+	t.lastLook = now
+	if v := t.control.view.Load(); v != t.view {
+		t.view = v
+		t.relay.SetView(now, v)
+	}
+	return now
+}
+
+// checkPause finds out whether the process stood still: either between two
+// looks, or while the machine slept and the steady clock stood still as well.
+func (t *traffic) checkPause(now time.Duration) {
+	slept := t.clock.Awake() - now
+	gap := now - t.lastLook + slept - t.lastSlept
+	t.lastCheck, t.lastSlept = now, slept
+	if gap > pauseThreshold {
+		t.relay.Resume(now)
+		t.observer.paused(now, gap)
+	}
+}
+
+func (t *traffic) packet(now time.Duration, frame []byte, n int) {
+	t.lastPacket.Store(int64(now))
+	frame = frame[:platform.IntendedBytes+n]
+	s, err := platform.DecodePacket(frame[platform.IntendedBytes:])
+	if err != nil {
+		t.malformed.Add(1)
+		t.observer.malformed(now, n, err)
+		return
+	}
+	t.relay.Packet(now, s, frame)
+}
+
+// Forward implements relay.Output.
+func (t *traffic) Forward(e *catalog.Entry, frame []byte) {
+	platform.Direct(frame, e.Number, e.Token())
+	t.send(frame, e.Address.AddrPort())
+}
+
+// Reset implements relay.Output.
+func (t *traffic) Reset(flow catalog.Flow, lastAcknowledgement uint32) {
+	t.reset = platform.AppendReset(t.reset[:0], flow, lastAcknowledgement)
+	caller := flow.Caller.AddrPort().Addr()
+	t.send(t.reset, netip.AddrPortFrom(caller, t.callerPort))
+}
+
+func (t *traffic) send(datagram []byte, to netip.AddrPort) {
+	if _, err := t.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		if t.sendErrors.Add(1) == 1 {
+			event.Log(t.logger, event.SendFailed, slog.String("to", to.String()), slog.String("error", err.Error()))
+		}
+	}
+}
+
+// ask runs a question on the traffic goroutine.
+func (t *traffic) ask(question func()) {
+	done := make(chan struct{})
+	t.questions <- func() { question(); close(done) }
+	t.wake()
+	<-done
+}
+
+// wake makes the traffic goroutine look around at once.
+func (t *traffic) wake() { _ = t.conn.SetReadDeadline(time.Unix(1, 0)) }
+
+func (t *traffic) answerQuestions() {
+	for {
+		select {
+		case q := <-t.questions:
+			q()
+		default:
+			return
+		}
+	}
+}
+
+// stop ends run.
+func (t *traffic) stop() {
+	t.stopping.Store(true)
+	t.wake()
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -67,8 +67,12 @@
 
 // checkListeners reports listeners that claim the same socket.
 func checkListeners(s *Settings, root *tomldoc.Table) {
-	table := root.Table("listen")
-	all := s.Listen.listeners()
+	reportOverlaps(s.Listen.listeners(), root.Table("listen"))
+}
+
+// reportOverlaps reports those of the listeners that claim an earlier one's
+// socket.
+func reportOverlaps(all []listener, table *tomldoc.Table) {
 	for i, l := range all {
 		for _, earlier := range all[:i] {
 			if l.overlaps(earlier) {
--- /dev/null
+++ b/internal/settings/relay.go
@@ -0,0 +1,189 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucangap/internal/finding"
+	"toucangap/internal/tomldoc"
+)
+
+// Values used where the file of a relay is silent. They are the bounds of the
+// smallest deployments known.
+const (
+	defaultHeartbeat     = 1200 * time.Millisecond
+	defaultConfiguration = 3 * time.Second
+	defaultDrain         = 3 * time.Second
+	defaultStop          = 6 * time.Second
+	defaultFlowLifetime  = 60 * time.Second
+	defaultHistory       = 20 * time.Second
+	defaultShortestLease = time.Second
+	// defaultMemoryMB is far more than a relay needs.
+	defaultMemoryMB = 256
+	// maxMemoryMB keeps the product in bytes within 63 bits.
+	maxMemoryMB = 1 << 30
+)
+
+// Relay are the settings of a host that forwards flows by tokens.
+type Relay struct {
+	Name   string
+	Domain string
+	Listen RelayListen
+	Store  RelayStore
+	Bounds RelayBounds
+	// MemoryBytes is the limit over which the process is ended.
+	MemoryBytes int64
+}
+
+// RelayListen are the addresses of a relay's listeners.
+type RelayListen struct {
+	// Packets takes callers' packets over UDP; callers take packets at the same
+	// port.
+	Packets netip.AddrPort
+	// Ready answers whether the host takes packets, over HTTP.
+	Ready netip.AddrPort
+	// Feed serves other hosts, over TCP.
+	Feed netip.AddrPort
+	// Admin serves operators' queries and metrics, over HTTP.
+	Admin netip.AddrPort
+}
+
+// RelayStore is the store that holds the configuration and the endpoints.
+type RelayStore struct {
+	Address netip.AddrPort
+	// History is how long the store keeps changes for watches.
+	History time.Duration
+	// ShortestLease is the shortest lease that the store grants.
+	ShortestLease time.Duration
+}
+
+// RelayBounds are the times within which a relay has to follow.
+type RelayBounds struct {
+	// Heartbeat is the interval in which endpoints renew their entries; an entry
+	// lapses after three of them.
+	Heartbeat time.Duration
+	// Configuration and Drain are the times from the store's acknowledgement of
+	// a configuration or of a leaving endpoint until it is in force.
+	Configuration time.Duration
+	Drain         time.Duration
+	// Stop is the time from SIGTERM to SIGKILL.
+	Stop time.Duration
+	// FlowLifetime is the age from which a flow may be forgotten.
+	FlowLifetime time.Duration
+}
+
+// LoadRelay reads the settings file of a relay. Mistakes come back together as
+// a finding.List.
+func LoadRelay(path string) (*Relay, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, merry.Prepend(err, "read settings")
+	}
+	s, findings := ParseRelay(path, data)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// ParseRelay reads a relay's settings from the text of a file; the name is used
+// in findings.
+func ParseRelay(file string, data []byte) (*Relay, finding.List) {
+	doc, findings := tomldoc.Parse(file, data)
+	if doc == nil {
+		return nil, findings
+	}
+	s := readRelay(doc.Root())
+	checkRelay(s, doc.Root())
+	return s, doc.Findings()
+}
+
+func readRelay(root *tomldoc.Table) *Relay {
+	root.Require("name", "domain", "listen", "store")
+	s := &Relay{
+		Name:   root.Text("name"),
+		Domain: root.Text("domain"),
+		Listen: readRelayListen(root.Table("listen"), root.Has("listen")),
+		Store:  readRelayStore(root.Table("store"), root.Has("store")),
+		Bounds: readRelayBounds(root.Table("bounds")),
+	}
+	limits := root.Table("limits")
+	s.MemoryBytes = limits.IntegerIn("memory_mb", defaultMemoryMB, 1, maxMemoryMB) << 20
+	limits.RejectUnknown()
+	root.RejectUnknown()
+	return s
+}
+
+func readRelayListen(t *tomldoc.Table, present bool) RelayListen {
+	if present {
+		t.Require("packets", "ready", "feed", "admin")
+	}
+	l := RelayListen{
+		Packets: t.Address("packets"),
+		Ready:   t.Address("ready"),
+		Feed:    t.Address("feed"),
+		Admin:   t.Address("admin"),
+	}
+	t.RejectUnknown()
+	return l
+}
+
+func readRelayStore(t *tomldoc.Table, present bool) RelayStore {
+	if present {
+		t.Require("address")
+	}
+	s := RelayStore{
+		Address:       t.Address("address"),
+		History:       t.Duration("history", defaultHistory),
+		ShortestLease: t.Duration("shortest_lease", defaultShortestLease),
+	}
+	t.RejectUnknown()
+	return s
+}
+
+func readRelayBounds(t *tomldoc.Table) RelayBounds {
+	b := RelayBounds{
+		Heartbeat:     t.Duration("heartbeat", defaultHeartbeat),
+		Configuration: t.Duration("configuration", defaultConfiguration),
+		Drain:         t.Duration("drain", defaultDrain),
+		Stop:          t.Duration("stop", defaultStop),
+		FlowLifetime:  t.Duration("flow_lifetime", defaultFlowLifetime),
+	}
+	t.RejectUnknown()
+	return b
+}
+
+// checkRelay reports mistakes that concern several values together.
+func checkRelay(s *Relay, root *tomldoc.Table) {
+	for _, name := range []struct{ key, value string }{{"name", s.Name}, {"domain", s.Domain}} {
+		if name.value == "" {
+			root.Report(name.key, "is empty", "a name")
+		}
+	}
+	listen := root.Table("listen")
+	all := []listener{
+		{"packets", "udp", s.Listen.Packets},
+		{"ready", "tcp", s.Listen.Ready},
+		{"feed", "tcp", s.Listen.Feed},
+		{"admin", "tcp", s.Listen.Admin},
+	}
+	reportOverlaps(all, listen)
+	bounds := root.Table("bounds")
+	for _, b := range []struct {
+		key   string
+		value time.Duration
+	}{
+		{"heartbeat", s.Bounds.Heartbeat},
+		{"configuration", s.Bounds.Configuration},
+		{"drain", s.Bounds.Drain},
+		{"stop", s.Bounds.Stop},
+		{"flow_lifetime", s.Bounds.FlowLifetime},
+	} {
+		if b.value <= 0 {
+			bounds.Report(b.key, b.value.String()+" is not positive", "a duration above 0")
+		}
+	}
+}
