Follow the store from one host and measure the age of feeds by round trip

Change: the first of a domain is fed by a host of another one; one rank orders all feeds, and a client dates news by the stamp of its own ping.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -21,10 +21,11 @@
 	Secret []byte
 	// Revision is what this host is complete up to.
 	Revision uint64
-	// Silence is how long the peer may say nothing, MaxAge how old its knowledge
-	// may be.
-	Silence time.Duration
-	MaxAge  time.Duration
+	// Interval is the time between two pings, Silence how long the peer may say
+	// nothing, MaxAge how old its knowledge may be.
+	Interval time.Duration
+	Silence  time.Duration
+	MaxAge   time.Duration
 	// Awake tells the time on a clock that runs on while the machine sleeps.
 	Awake func() time.Duration
 	// Connected is called once the peer has proven itself.
@@ -49,6 +50,8 @@
 		return merry.Prepend(err, "begin a feed")
 	}
 	c.Connected()
+	// The reader notices when the connection is lost.
+	go c.pings(conn)
 	for ctx.Err() == nil {
 		if err := c.news(conn, peer.Name); err != nil {
 			return err
@@ -57,6 +60,18 @@
 	return context.Cause(ctx)
 }
 
+// pings sends the time now and then until the connection is closed.
+func (c *Client) pings(conn *connection) {
+	for {
+		time.Sleep(c.Interval)
+		if err := conn.send(c.ping(), writeTimeout); err != nil {
+			return
+		}
+	}
+}
+
+func (c *Client) ping() *feedpb.Ping { return &feedpb.Ping{StampUs: c.Awake().Microseconds()} }
+
 func (c *Client) handshake(conn *connection) error {
 	nonce := newNonce()
 	if err := conn.send(&feedpb.Hello{Host: c.Host, Nonce: nonce}, handshakeTimeout); err != nil {
@@ -69,10 +84,14 @@
 	if !hmac.Equal(challenge.Proof, prove(c.Secret, roleServer, nonce, challenge.Nonce)) {
 		return ErrProof
 	}
-	return conn.send(&feedpb.Subscribe{
+	subscribe := &feedpb.Subscribe{
 		Proof:    prove(c.Secret, roleClient, challenge.Nonce, nonce),
 		Revision: c.Revision,
-	}, handshakeTimeout)
+	}
+	if err := conn.send(subscribe, handshakeTimeout); err != nil {
+		return err
+	}
+	return conn.send(c.ping(), handshakeTimeout)
 }
 
 // news takes one message.
@@ -81,14 +100,22 @@
 	if err := conn.receive(&news, c.Silence); err != nil {
 		return merry.Prepend(err, "read a feed")
 	}
-	age := time.Duration(news.AgeUs) * time.Microsecond
-	c.Take(batchOf(&news, peer, c.Awake()-age))
-	if age > c.MaxAge {
+	proven := provenAt(&news)
+	c.Take(batchOf(&news, peer, proven))
+	if age := c.Awake() - proven; age > c.MaxAge {
 		return merry.Appendf(ErrStale, "%s old", age)
 	}
 	return nil
 }
 
+// provenAt returns the moment up to which the message is complete, on the
+// client's clock and never too late: the ping was sent before it arrived, and
+// the rest is measured on the server's clock. The time that the message itself
+// has taken, which may be long, does not count in its favour.
+func provenAt(news *feedpb.News) time.Duration {
+	return time.Duration(news.StampUs+news.HeldUs-news.AgeUs) * time.Microsecond
+}
+
 func batchOf(news *feedpb.News, peer string, proven time.Duration) follow.Batch {
 	b := follow.Batch{
 		Source:    peer,
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -33,8 +33,8 @@
 type Server struct {
 	Source Source
 	Logger *slog.Logger
-	// Interval is the longest time between two messages.
-	Interval time.Duration
+	// Silence is how long a client may say nothing.
+	Silence time.Duration
 	// Awake tells the time on a clock that runs on while the machine sleeps.
 	Awake func() time.Duration
 }
@@ -79,17 +79,30 @@
 		return
 	}
 	event.Log(s.Logger, event.FeedServing, slog.String("host", host), slog.Uint64("revision", revision))
-	// The client says nothing more: whatever comes, or the end, ends the feed.
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = conn.SetReadDeadline(time.Time{})
-		_, _ = conn.reader.ReadByte()
-	}()
-	err = s.feed(ctx, conn, revision, ended)
+	pings := make(chan ping, 1)
+	go s.readPings(conn, pings)
+	err = s.feed(ctx, conn, revision, pings)
 	event.Log(s.Logger, event.FeedLost, slog.String("host", host), slog.String("error", errorText(err)))
 }
 
+// ping is a client's ping with the moment of its arrival.
+type ping struct {
+	stampUs int64
+	arrived time.Duration
+}
+
+// readPings passes pings on until the connection is lost.
+func (s *Server) readPings(conn *connection, pings chan<- ping) {
+	defer close(pings)
+	for {
+		var p feedpb.Ping
+		if err := conn.receive(&p, s.Silence); err != nil {
+			return
+		}
+		pings <- ping{stampUs: p.StampUs, arrived: s.Awake()}
+	}
+}
+
 func (s *Server) handshake(ctx context.Context, conn *connection) (host string, revision uint64, err error) {
 	var hello feedpb.Hello
 	if err := conn.receive(&hello, handshakeTimeout); err != nil {
@@ -114,38 +127,44 @@
 	return hello.Host, subscribe.Revision, nil
 }
 
-// feed sends news at each change, and a sign of life in between.
-func (s *Server) feed(ctx context.Context, conn *connection, revision uint64, ended <-chan struct{}) error {
-	timer := time.NewTimer(s.Interval)
-	defer timer.Stop()
-	for {
+// feed answers each ping with news, and sends news at each change.
+func (s *Server) feed(ctx context.Context, conn *connection, revision uint64, pings <-chan ping) error {
+	// However the feed ends, the reader must not be left waiting.
+	defer func() {
+		conn.Close()
+		for range pings {
+		}
+	}()
+	last, ok := <-pings
+	for ok {
 		changed := s.Source.Changed()
 		batch, err := s.Source.Since(ctx, revision)
 		if err != nil {
 			return err
 		}
-		if err := conn.send(s.newsOf(&batch), writeTimeout); err != nil {
+		if err := conn.send(s.newsOf(&batch, last), writeTimeout); err != nil {
 			return err
 		}
 		revision = max(revision, batch.Revision)
-		timer.Reset(s.Interval)
 		select {
 		case <-changed:
-		case <-timer.C:
-		case <-ended:
-			return nil
+		case last, ok = <-pings:
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		}
 	}
+	return nil
 }
 
-func (s *Server) newsOf(b *follow.Batch) *feedpb.News {
+func (s *Server) newsOf(b *follow.Batch, last ping) *feedpb.News {
+	now := s.Awake()
 	news := &feedpb.News{
 		Complete:    b.Complete,
 		Revision:    b.Revision,
-		AgeUs:       (s.Awake() - b.Proven).Microseconds(),
+		AgeUs:       (now - b.Proven).Microseconds(),
 		UnsettledUs: b.Unsettled.Microseconds(),
+		StampUs:     last.stampUs,
+		HeldUs:      (now - last.arrived).Microseconds(),
 	}
 	for i := range b.Changes {
 		c := &b.Changes[i]
@@ -161,7 +180,7 @@
 
 func errorText(err error) string {
 	if err == nil {
-		return "closed by the client"
+		return "client gone or silent"
 	}
 	return err.Error()
 }
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -57,19 +57,39 @@
 // Secret returns the secret that hosts share, or nil.
 func (k *Keeper) Secret() []byte { return k.secret }
 
+// maxOuterFeeders bounds the hosts of other failure domains that are asked
+// before a host follows the store itself.
+const maxOuterFeeders = 2
+
 // Feeders returns the hosts that may feed the named one, the best first: those
-// of its domain that rank above it. All hosts with the same registrations agree
-// on the order, so the first of a domain finds none and follows the store.
+// of its domain that rank above it, or, for the first of a domain, some of other
+// domains that rank above it among all hosts. Ranks only rise along a chain of
+// feeds, so that there is no circle; all hosts with the same registrations agree
+// on the one that finds no feeder and follows the store.
 func Feeders(hosts []Host, name, domain string) []Host {
-	own := rank(domain, name)
-	var feeders []Host
+	inner := above(hosts, name, func(h Host) bool { return h.Domain == domain })
+	if len(inner) > 0 {
+		return inner
+	}
+	outer := above(hosts, name, func(h Host) bool { return h.Domain != domain })
+	return outer[:min(len(outer), maxOuterFeeders)]
+}
+
+// feedSalt makes the one rank by which hosts feed each other. With a second
+// one, for hosts within a domain, chains of feeds could close to a circle.
+const feedSalt = "feed"
+
+// above returns the matching hosts that rank above the named one, best first.
+func above(hosts []Host, name string, matches func(Host) bool) []Host {
+	own := rank(feedSalt, name)
+	var found []Host
 	for _, h := range hosts {
-		if h.Domain == domain && h.Name != name && rank(domain, h.Name) > own {
-			feeders = append(feeders, h)
+		if h.Name != name && matches(h) && rank(feedSalt, h.Name) > own {
+			found = append(found, h)
 		}
 	}
-	sortByRank(feeders, domain)
-	return feeders
+	sortByRank(found, feedSalt)
+	return found
 }
 
 // Helpers returns the hosts that may feed the named one while it can't reach
--- a/internal/follow/pace.go
+++ b/internal/follow/pace.go
@@ -9,6 +9,8 @@
 // which a change has to be in force. A watch may go silent without a sign, so
 // each is short and bounded; the worst case, a change right after a pause began
 // whose watch then goes silent, is Pause+Watch+Slack, two thirds of the bound.
+// While all is well knowledge is at most Pause+Watch old, which is less than
+// MaxAge.
 type Pace struct {
 	// Watch is how long the store may hold a watch.
 	Watch time.Duration
@@ -21,21 +23,21 @@
 	Call time.Duration
 	// MaxAge is the age of knowledge from which a host asks somewhere else.
 	MaxAge time.Duration
-	// Beacon is the longest time between two messages of a feed, Silence the
-	// time after which a feed counts as lost.
-	Beacon  time.Duration
+	// Ping is the time between two signs of life on a feed, Silence the time
+	// after which it counts as lost.
+	Ping    time.Duration
 	Silence time.Duration
 }
 
 // NewPace derives the times from the shortest of the bounds on changes.
 func NewPace(bound time.Duration) Pace {
 	return Pace{
-		Watch:   bound / 3,
-		Slack:   bound / 6,
-		Pause:   bound / 6,
+		Watch:   bound * 5 / 12,
+		Slack:   bound / 8,
+		Pause:   bound / 8,
 		Call:    bound / 3,
 		MaxAge:  bound * 2 / 3,
-		Beacon:  bound / 8,
+		Ping:    bound / 6,
 		Silence: bound / 3,
 	}
 }
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -18,6 +18,9 @@
 	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (platform.Changes, error)
 }
 
+// shortestWait is the wait of a watch that is only to say what has changed.
+const shortestWait = time.Millisecond
+
 // maxPages bounds a listing: a million keys.
 const maxPages = 2000
 
@@ -48,10 +51,21 @@
 // Lost reports whether the last call failed.
 func (f *Follower) Lost() bool { return f.lost }
 
-// Step makes one call and returns how long to wait before the next one.
+// Step makes one call, which waits for changes, and returns how long to wait
+// before the next one.
 func (f *Follower) Step(ctx context.Context) time.Duration {
+	return f.step(ctx, f.Pace.Watch)
+}
+
+// Check makes one call that does not wait for changes: it brings the state up
+// to date at once, after another source was lost.
+func (f *Follower) Check(ctx context.Context) time.Duration {
+	return f.step(ctx, shortestWait)
+}
+
+func (f *Follower) step(ctx context.Context, wait time.Duration) time.Duration {
 	begun := f.Awake()
-	err := f.call(ctx)
+	err := f.call(ctx, wait)
 	if ctx.Err() != nil {
 		return 0
 	}
@@ -67,11 +81,11 @@
 	return max(0, f.Pace.Pause-(f.Awake()-begun))
 }
 
-func (f *Follower) call(ctx context.Context) error {
+func (f *Follower) call(ctx context.Context, wait time.Duration) error {
 	if f.cursor == 0 {
 		return f.list(ctx)
 	}
-	return f.watch(ctx)
+	return f.watch(ctx, wait)
 }
 
 func (f *Follower) failed(begun time.Duration, err error) time.Duration {
@@ -130,17 +144,17 @@
 // watch waits for changes. An answer without any proves that nothing had
 // changed when the store's wait was over; one with changes only that they were
 // all at the time of the call.
-func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.Pace.Watch+f.Pace.Slack)
+func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+f.Pace.Slack)
 	defer cancel()
 	begun := f.Awake()
-	changes, err := f.Store.Watch(ctx, platform.Everything, f.cursor, f.Pace.Watch)
+	changes, err := f.Store.Watch(ctx, platform.Everything, f.cursor, wait)
 	if err != nil {
 		return err
 	}
 	proven := begun
 	if len(changes.Changes) == 0 {
-		proven = min(begun+f.Pace.Watch, f.Awake())
+		proven = min(begun+wait, f.Awake())
 	}
 	f.cursor = max(f.cursor, changes.Revision)
 	f.Take(Batch{
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -78,14 +78,14 @@
 // take applies a batch.
 func (c *control) take(ctx context.Context, b follow.Batch) {
 	c.do(ctx, func() {
-		before := c.keeper.Revision()
+		before, _ := c.keeper.Proven()
 		changed := c.keeper.Apply(c.clock.Steady(), b)
 		proven, _ := c.keeper.Proven()
 		c.provenAwake.Store(int64(proven))
 		if changed {
 			c.publish()
 		}
-		if changed || c.keeper.Revision() != before {
+		if changed || len(b.Changes) > 0 || proven != before {
 			c.notify()
 		}
 	})
--- a/internal/relayd/ready.go
+++ b/internal/relayd/ready.go
@@ -45,7 +45,8 @@
 // ServeHTTP implements http.Handler.
 func (r *readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	ready, reason := r.ready()
-	if changed := r.last.Swap(ready) != ready; changed || !r.asked.Swap(true) {
+	changed := r.last.Swap(ready) != ready
+	if first := !r.asked.Swap(true); changed || first {
 		if ready {
 			event.Log(r.logger, event.RelayReady, slog.Duration("view_age", r.control.age()))
 		} else {
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -32,7 +32,7 @@
 	maxFlows = 100_000
 	// collectPercent is how much the heap may grow between two collections; a
 	// small heap makes collections cheap, and memory is dear on small hosts.
-	collectPercent = 50
+	collectPercent = 20
 	// memoryShare is the part of the host's memory that the heap may take.
 	memoryShare = 0.6
 	// logPatience bounds the writing of the last lines.
@@ -170,7 +170,7 @@
 }
 
 func (d *Daemon) feedServer() *feed.Server {
-	return &feed.Server{Source: d.control, Logger: d.logger, Interval: d.pace.Beacon, Awake: d.clock.Awake}
+	return &feed.Server{Source: d.control, Logger: d.logger, Silence: d.pace.Silence, Awake: d.clock.Awake}
 }
 
 func (d *Daemon) source() *source {
--- a/internal/relayd/source.go
+++ b/internal/relayd/source.go
@@ -25,7 +25,6 @@
 	logger   *slog.Logger
 	// rested is until when a host is left alone, on the steady clock.
 	rested map[string]time.Duration
-	fed    bool
 }
 
 // run follows until the context ends.
@@ -43,20 +42,20 @@
 	}
 }
 
-// followPeers is fed by hosts of the domain for as long as one can. It reports
-// whether one has done so.
+// followPeers is fed by the best host that may, for as long as it can. It
+// reports whether there was one to try.
 func (s *source) followPeers(ctx context.Context) bool {
 	for _, peer := range follow.Feeders(s.control.hosts(ctx), s.host.Name, s.host.Domain) {
 		if s.resting(peer.Name) {
 			continue
 		}
 		event.Log(s.logger, event.FollowingPeer, slog.String("host", peer.Name))
-		fed := s.follow(ctx, peer, s.pace.MaxAge, ctx)
+		s.follow(ctx, peer, ctx)
 		s.rest(peer.Name)
 		event.Log(s.logger, event.FollowingStore)
-		if fed {
-			return true
-		}
+		// The next source takes time to reach: what was missed is fetched first.
+		sleep(ctx, s.follower.Check(ctx))
+		return true
 	}
 	return false
 }
@@ -69,7 +68,7 @@
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, s.pace.MaxAge)
-		helped := s.follow(ctx, peer, s.pace.MaxAge, limited)
+		helped := s.follow(ctx, peer, limited)
 		cancel()
 		if helped {
 			return true
@@ -81,19 +80,20 @@
 }
 
 // follow takes a peer's feed and reports whether it was of use.
-func (s *source) follow(ctx context.Context, peer follow.Host, maxAge time.Duration, limited context.Context) (useful bool) {
+func (s *source) follow(ctx context.Context, peer follow.Host, limited context.Context) (useful bool) {
 	client := feed.Client{
 		Host:     s.host.Name,
 		Secret:   s.control.Secret(ctx),
 		Revision: s.control.revision(ctx),
+		Interval: s.pace.Ping,
 		Silence:  s.pace.Silence,
-		MaxAge:   maxAge,
+		MaxAge:   s.pace.MaxAge,
 		Awake:    s.clock.Awake,
 		Connected: func() {
 			event.Log(s.logger, event.FeedConnected, slog.String("host", peer.Name))
 		},
 		Take: func(b follow.Batch) {
-			useful = useful || s.clock.Awake()-b.Proven <= maxAge
+			useful = useful || s.clock.Awake()-b.Proven <= s.pace.MaxAge
 			s.control.take(ctx, b)
 			s.follower.Resume(b.Revision)
 		},
