Let a planned stop wait for a restarting host of the domain

Change: a stop stays ready while another host of its domain has just gone or come back, within the time until SIGKILL; and a starting host leaves packets in the socket until its first view, for at most 150 ms, instead of dropping them. Ruled out: endpoints (the packets never reached a host).

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -19,6 +19,7 @@
 	SettingsReloaded
 	SettingsRefused
 	SendFailed
+	StopWaits
 )
 
 var relayArea = Area{
@@ -39,6 +40,7 @@
 		{SettingsReloaded, slog.LevelInfo, "settings read again", "None; a change of addresses takes a restart."},
 		{SettingsRefused, slog.LevelError, "changed settings refused", "Mend the file; the former settings stay in force."},
 		{SendFailed, slog.LevelWarn, "datagram not sent", "Look at the network interface and the link's load."},
+		{StopWaits, slog.LevelInfo, "planned stop waits for another host of the domain", "None; stop the hosts of a domain one at a time."},
 	},
 }
 
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,10 +24,11 @@
 // Encode returns the host's registration.
 func (h Host) Encode() ([]byte, error) { return json.Marshal(h) }
 
-func (k *Keeper) host(name string, c *platform.Change) {
+func (k *Keeper) host(now time.Duration, name string, c *platform.Change) {
 	if c.Removed {
-		if _, ok := k.hosts[name]; ok {
+		if h, ok := k.hosts[name]; ok {
 			delete(k.hosts, name)
+			k.absences[name] = absence{domain: h.Domain, goneAt: now}
 			event.Log(k.logger, event.HostGone, slog.String("host", name), slog.Uint64("revision", c.Revision))
 		}
 		return
@@ -42,6 +44,51 @@
 			slog.String("feed", h.Feed.String()), slog.Uint64("revision", c.Revision))
 	}
 	k.hosts[name] = h
+	if a, ok := k.absences[name]; ok && !a.back {
+		a.back, a.backAt = true, now
+		k.absences[name] = a
+	}
+}
+
+// absence is a time without a host's registration.
+type absence struct {
+	domain string
+	goneAt time.Duration
+	back   bool
+	backAt time.Duration
+}
+
+const (
+	// restartTime is how long a host that has gone is held to be restarting.
+	restartTime = 5 * time.Second
+	// settleTime is how long routers take to use a host that has come back: a
+	// question that they ask twice a second, and its way.
+	settleTime = 700 * time.Millisecond
+)
+
+// over reports whether the absence means nothing any more.
+func (a absence) over(now time.Duration) bool {
+	if a.back {
+		return now >= a.backAt+settleTime
+	}
+	return now >= a.goneAt+restartTime
+}
+
+// Restarting returns the other hosts of the domain that routers may not use at
+// the moment because they have gone or come back just now.
+func (k *Keeper) Restarting(now time.Duration, name, domain string) []string {
+	var names []string
+	for other, a := range k.absences {
+		if a.over(now) {
+			delete(k.absences, other)
+			continue
+		}
+		if a.domain == domain && other != name {
+			names = append(names, other)
+		}
+	}
+	slices.Sort(names)
+	return names
 }
 
 // Hosts returns the registered hosts by name.
--- a/internal/follow/keeper.go
+++ b/internal/follow/keeper.go
@@ -51,6 +51,7 @@
 	directory *catalog.Directory
 	items     map[string]kept
 	hosts     map[string]Host
+	absences  map[string]absence
 	secret    []byte
 	proven    time.Duration
 	source    string
@@ -67,6 +68,7 @@
 		directory: catalog.NewDirectory(lapseGrace, flowLifetime),
 		items:     make(map[string]kept),
 		hosts:     make(map[string]Host),
+		absences:  make(map[string]absence),
 		history:   history,
 	}
 }
@@ -109,7 +111,7 @@
 	case platform.KindEndpoint:
 		return k.endpoint(now, name, c)
 	case platform.KindHost:
-		k.host(name, c)
+		k.host(now, name, c)
 	case platform.KindSecret:
 		k.secret = c.Value
 	}
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -133,6 +133,12 @@
 	return hosts
 }
 
+// restarting returns the other hosts of the domain that may be out of use.
+func (c *control) restarting(ctx context.Context, h follow.Host) (names []string) {
+	c.do(ctx, func() { names = c.keeper.Restarting(c.clock.Steady(), h.Name, h.Domain) })
+	return names
+}
+
 // revision returns the store's revision up to which the state is complete.
 func (c *control) revision(ctx context.Context) (revision uint64) {
 	c.do(ctx, func() { revision = c.keeper.Revision() })
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -24,13 +24,18 @@
 	quietStep = 50 * time.Millisecond
 	// stopMargin is kept between the end of a planned stop and SIGKILL.
 	stopMargin = time.Second
+	// leaveTime is kept for leaving the rotation itself.
+	leaveTime = leaveRotation + quiet + stopMargin
 )
 
 // Stop leaves the rotation, forwards packets until none come any more, and
-// returns; the caller then ends Run.
+// returns; the caller then ends Run. While another host of the domain is
+// restarting it waits: with too few hosts in the rotation routers would use all
+// of them, also those that are down.
 func (d *Daemon) Stop(ctx context.Context) {
 	begun := d.clock.Steady()
 	event.Log(d.logger, event.StopBegun, slog.Duration("at_most", d.settings.Bounds.Stop-stopMargin))
+	d.awaitOthers(ctx, begun)
 	d.ready.stopping.Store(true)
 	go d.announce.withdraw(context.WithoutCancel(ctx))
 	sleep(ctx, min(leaveRotation, d.settings.Bounds.Stop/2))
@@ -43,3 +48,20 @@
 		sleep(ctx, quietStep)
 	}
 }
+
+// awaitOthers waits until no other host of the domain is restarting, as long as
+// the time until SIGKILL allows.
+func (d *Daemon) awaitOthers(ctx context.Context, begun time.Duration) {
+	logged := false
+	for ctx.Err() == nil && d.clock.Steady()-begun < d.settings.Bounds.Stop-leaveTime {
+		others := d.control.restarting(ctx, d.announce.host)
+		if len(others) == 0 {
+			return
+		}
+		if !logged {
+			logged = true
+			event.Log(d.logger, event.StopWaits, slog.Any("restarting", others))
+		}
+		sleep(ctx, quietStep)
+	}
+}
--- a/internal/relayd/traffic.go
+++ b/internal/relayd/traffic.go
@@ -31,6 +31,11 @@
 	// process counts as paused; it is longer than a turn that a thin host may
 	// have to wait for.
 	pauseThreshold = time.Second
+	// startPatience is how long packets are left unread after a start while
+	// nothing is known; it is below the first repetition of callers. startStep
+	// is how often that is looked at.
+	startPatience = 150 * time.Millisecond
+	startStep     = 2 * time.Millisecond
 )
 
 // traffic owns the relay and the socket of callers' packets.
@@ -74,6 +79,7 @@
 // run takes packets until stop.
 func (t *traffic) run() error {
 	frame := make([]byte, platform.IntendedBytes+platform.MaxPacket+1)
+	t.awaitView()
 	t.lastLook = t.clock.Steady()
 	t.lastCheck, t.lastSlept = t.lastLook, t.clock.Awake()-t.lastLook
 	for !t.stopping.Load() {
@@ -100,6 +106,15 @@
 	return nil
 }
 
+// awaitView leaves packets in the socket until there is something to decide
+// them by, for a moment: after a restart that is as long as one call to the
+// store takes.
+func (t *traffic) awaitView() {
+	for waited := time.Duration(0); waited < startPatience && t.control.view.Load() == nil && !t.stopping.Load(); waited += startStep {
+		time.Sleep(startStep)
+	}
+}
+
 // readLate looks once more for a packet after a deadline has passed: a read
 // whose deadline is over does not look at the socket.
 func (t *traffic) readLate(frame []byte) (int, error) {
