Hold an endpoint for dead only when a later flow was accepted elsewhere

Change: silence has to span 40 ms and a flow that began after the last silent one has to be accepted by another endpoint.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,14 +32,17 @@
 // The parameters of suspicion.
 const (
 	// firstSuspicion is how long an endpoint is passed over after an unanswered
-	// first packet; it doubles with each one up to longestSuspicion. A lost
-	// datagram costs an endpoint little, a dead one is tried a few times until
-	// its entry lapses.
-	firstSuspicion   = 250 * time.Millisecond
+	// first packet; it doubles with each one up to longestSuspicion. A trial costs
+	// one caller some milliseconds, since its packet is sent on, and a dead
+	// endpoint should be known before those who wait for it give up.
+	firstSuspicion   = 30 * time.Millisecond
 	longestSuspicion = 2 * time.Second
 	// deadAfter is the number of flows in a row whose first packets an endpoint
-	// has to leave unanswered to be held for dead, while others answer.
+	// has to leave unanswered to be held for dead, and deadSpan the least time
+	// between the first and the last of them: what is lost when routers move
+	// callers to another host is lost at one moment.
 	deadAfter = 3
+	deadSpan  = 40 * time.Millisecond
 )
 
 // Endpoint is what one host has seen of an endpoint.
@@ -51,8 +54,11 @@
 	Busy int
 
 	// unanswered counts first packets without a reaction since the last one.
-	unanswered   int
+	unanswered int
+	// firstSilent and lastSilent are when the first and the last of them were
+	// sent.
 	firstSilent  time.Duration
+	lastSilent   time.Duration
 	suspectUntil time.Duration
 	trial        bool
 	lastLife     time.Duration
@@ -62,10 +68,8 @@
 // Service gathers what endpoints of one service have in common.
 type Service struct {
 	answer average
-	// lastLife is the last sign of life of any of its endpoints.
-	lastLife time.Duration
-	// lives counts signs of life.
-	lives uint64
+	// lastAccepted is the latest sending of a first packet that was accepted.
+	lastAccepted time.Duration
 }
 
 // Suspect reports whether the endpoint is passed over for now.
@@ -93,43 +97,48 @@
 
 // Alive takes note of a sign of life: a caller's packet that only an endpoint
 // that works can have caused.
-func (e *Endpoint) Alive(now time.Duration, s *Service) (recovered bool) {
+func (e *Endpoint) Alive(now time.Duration) (recovered bool) {
 	recovered = e.unanswered > 0
 	e.unanswered = 0
 	e.trial = false
 	e.lastLife = now
-	s.lastLife = now
-	s.lives++
 	return recovered
 }
 
+// Accepted takes note that an endpoint of the service accepted a flow whose
+// first packet was sent at the given time.
+func (s *Service) Accepted(sent time.Duration) { s.lastAccepted = max(s.lastAccepted, sent) }
+
 // Answered takes the time from a request to the first bytes of its answer.
 func (e *Endpoint) Answered(now, took time.Duration, s *Service) {
 	e.answer.add(now, float64(took), endpointShare)
 	s.answer.add(now, float64(took), serviceShare)
 }
 
-// Silent takes note of a flow, begun at the given time, whose first packet has
-// had no reaction. It reports whether the endpoint is now held for dead.
-func (e *Endpoint) Silent(now, begun time.Duration, s *Service) (dead bool) {
-	if begun < e.lastLife {
+// Silent takes note of a first packet, sent at the given time, that has had no
+// reaction.
+func (e *Endpoint) Silent(now, sent time.Duration) {
+	if sent < e.lastLife {
 		// The endpoint reacted to others since; this packet was lost.
-		return false
+		return
 	}
 	if e.unanswered == 0 {
-		e.firstSilent = begun
+		e.firstSilent = sent
 	}
 	e.unanswered++
+	e.lastSilent = max(e.lastSilent, sent)
 	e.trial = false
 	pause := min(firstSuspicion<<min(e.unanswered-1, 8), longestSuspicion)
 	e.suspectUntil = now + pause
-	return e.Dead(s)
 }
 
-// Dead reports whether the endpoint is held for dead: several flows in a row
-// got no reaction while other endpoints of the service reacted.
+// Dead reports whether the endpoint is held for dead: several flows over some
+// time got no reaction, while a flow that began later was accepted by another
+// endpoint. Without the latter the host itself may be out of reach of callers.
 func (e *Endpoint) Dead(s *Service) bool {
-	return e.unanswered >= deadAfter && s.lastLife > e.firstSilent
+	return e.unanswered >= deadAfter &&
+		e.lastSilent-e.firstSilent >= deadSpan &&
+		s.lastAccepted > e.lastSilent
 }
 
 // Forgive drops all suspicion, after a time in which the host itself could not
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -124,7 +124,7 @@
 	all := endpoints(3, "here")
 	var s Service
 	silent := all[0]
-	require.False(t, silent.Silent(10*ms, 0, &s))
+	silent.Silent(10*ms, 0)
 	for hash := range uint64(100) {
 		c := Choose(request(11*ms, hash), &s, all)
 		require.NotSame(t, silent, c.Endpoint)
@@ -135,17 +135,16 @@
 	require.Same(t, silent, c.Endpoint)
 	require.True(t, c.Trial)
 	require.NotSame(t, silent, Choose(request(10*ms+firstSuspicion, 2), &s, all).Endpoint)
-	require.True(t, silent.Alive(12*ms+firstSuspicion, &s))
+	require.True(t, silent.Alive(12*ms+firstSuspicion))
 	require.False(t, silent.Suspect(12*ms+firstSuspicion))
 }
 
 func TestSuspicionGrowsToItsBound(t *testing.T) {
 	all := endpoints(1, "here")
-	var s Service
 	now := time.Duration(0)
 	pause := firstSuspicion
 	for range 10 {
-		all[0].Silent(now, now, &s)
+		all[0].Silent(now, now)
 		require.True(t, all[0].Suspect(now+pause-1))
 		require.False(t, all[0].Suspect(now+pause))
 		now += pause
@@ -159,41 +158,49 @@
 	all := endpoints(2, "here")
 	var s Service
 	for _, e := range all {
-		e.Silent(0, 0, &s)
+		e.Silent(0, 0)
 	}
 	require.NotNil(t, Choose(request(1, 1), &s, all).Endpoint)
 	require.Nil(t, Choose(request(1, 1), &s, nil).Endpoint)
 	require.Nil(t, Choose(Request{Tried: all}, &s, all).Endpoint)
 }
 
-// TestDeath: several silent flows in a row while others react. One lost packet,
-// or silence all around, is none.
+// TestDeath: several silent flows over some time, while a later one is accepted
+// elsewhere.
 func TestDeath(t *testing.T) {
-	all := endpoints(2, "here")
+	dark := endpoints(1, "here")[0]
 	var s Service
-	dark, good := all[0], all[1]
 	for i := range deadAfter {
-		require.False(t, dark.Silent(time.Duration(i+10)*ms, time.Duration(i)*ms, &s), "nobody else has reacted")
+		require.False(t, dark.Dead(&s))
+		dark.Silent(time.Duration(i*30+10)*ms, time.Duration(i*30)*ms)
 	}
-	good.Alive(20*ms, &s)
+	s.Accepted(59 * ms)
+	require.False(t, dark.Dead(&s), "the flow that was accepted began before")
+	s.Accepted(61 * ms)
 	require.True(t, dark.Dead(&s))
-	require.True(t, dark.Silent(31*ms, 21*ms, &s))
-	dark.Alive(40*ms, &s)
+	dark.Alive(100 * ms)
 	require.False(t, dark.Dead(&s))
-	require.False(t, dark.Silent(50*ms, 30*ms, &s), "a flow from before the last sign of life")
-	require.Zero(t, dark.Unanswered())
-	for i := range deadAfter - 1 {
-		require.False(t, dark.Silent(time.Duration(60+i)*ms, 50*ms, &s))
-		good.Alive(time.Duration(60+i)*ms, &s)
+	dark.Silent(110*ms, 90*ms)
+	require.Zero(t, dark.Unanswered(), "a flow from before the last sign of life")
+}
+
+// TestNoDeathAtOneMoment: when routers move callers to another host, the
+// reactions to all packets on their way are lost here at once.
+func TestNoDeathAtOneMoment(t *testing.T) {
+	e := endpoints(1, "here")[0]
+	var s Service
+	for i := range 10 {
+		e.Silent(time.Duration(i+15)*ms, time.Duration(i)*ms)
 	}
-	require.False(t, dark.Dead(&s))
+	s.Accepted(20 * ms)
+	require.False(t, e.Dead(&s))
 }
 
 func TestForgive(t *testing.T) {
 	all := endpoints(1, "here")
 	var s Service
 	for i := range 5 {
-		all[0].Silent(time.Duration(i), time.Duration(i), &s)
+		all[0].Silent(time.Duration(i), time.Duration(i))
 	}
 	all[0].Forgive()
 	require.False(t, all[0].Suspect(6))
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -64,9 +64,9 @@
 		r.reject(now, p, s.Acknowledgement, RejectNoEndpoint)
 		return
 	}
-	p.Choice = balance.Choose(balance.Request{Now: now, Hash: hash, Domain: r.options.Domain}, &sv.seen, sv.candidates)
+	p.Choice = r.options.Choose(balance.Request{Now: now, Hash: hash, Domain: r.options.Domain}, &sv.seen, sv.candidates)
 	p.Endpoint = p.Choice.Endpoint.Entry
-	if !balance.Admit(route, p.Choice.Expected) {
+	if !r.options.Without.Admission && !balance.Admit(route, p.Choice.Expected) {
 		r.reject(now, p, s.Acknowledgement, RejectOverload)
 		return
 	}
@@ -118,8 +118,8 @@
 	p := r.placement(f.key, f.route, f.service.name)
 	p.Copy = copies
 	p.Waited = now - f.begun
-	if f.tries < maxTries {
-		p.Choice = balance.Choose(balance.Request{
+	if f.tries < maxTries && !r.options.Without.SendingOn {
+		p.Choice = r.options.Choose(balance.Request{
 			Now:    now,
 			Hash:   f.key.Hash(),
 			Domain: r.options.Domain,
--- a/internal/relay/later.go
+++ b/internal/relay/later.go
@@ -24,12 +24,16 @@
 		r.late(now, f, s, frame)
 		return
 	}
-	if s.Token != 0 && s.Token != f.endpoint.Entry.Token() {
+	if s.Token != 0 && s.Token != f.endpoint.Entry.Token() && !r.options.Without.Pinning {
 		// A second endpoint that answered the first packet changed what the caller
 		// returns; the one whose answer came first holds the flow.
 		r.stats.Contested++
 		r.options.Observer.Contested(now, f.key, f.endpoint.Entry, s.Token)
 	}
+	if named := r.endpoints[s.Token]; r.options.Without.Pinning && named != nil && named != f.endpoint {
+		f.detach()
+		f.attach(named)
+	}
 	progress := r.progress(now, f, s)
 	if s.DataBytes > 0 && r.doomed(now, f, progress) {
 		return
@@ -57,7 +61,7 @@
 		r.noRoute(now, s)
 		return nil
 	}
-	if !r.history.permits(now, route, e.Entry.Service) {
+	if !r.options.Without.ServiceCheck && !r.history.permits(now, route, e.Entry.Service) {
 		r.drop(now, s.Flow, DropForeignService)
 		return nil
 	}
@@ -104,11 +108,13 @@
 		r.options.Observer.Accepted(took)
 	}
 	r.alive(now, f)
+	f.service.seen.Accepted(f.sentAt)
+	r.bury(now, f.service)
 }
 
 // alive takes a sign of life of the flow's endpoint.
 func (r *Relay) alive(now time.Duration, f *flow) {
-	if f.endpoint.Alive(now, &f.service.seen) {
+	if f.endpoint.Alive(now) {
 		r.options.Observer.Recovered(now, f.endpoint)
 	}
 }
@@ -155,7 +161,7 @@
 // that answers in progress arrive whole.
 func (r *Relay) doomed(now time.Duration, f *flow, progress bool) bool {
 	switch {
-	case !progress && f.endpoint.Dead(&f.service.seen):
+	case !progress && !r.options.Without.Death && f.endpoint.Dead(&f.service.seen):
 		r.endDead(now, f)
 		return true
 	case r.view.Route(f.key.Service) == nil:
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -97,9 +97,8 @@
 	// Contested: a caller's packet names another endpoint than the one that
 	// holds its flow.
 	Contested(now time.Duration, f catalog.Flow, holder *catalog.Entry, named catalog.Token)
-	// Suspected: an endpoint left a first packet without a reaction; dead tells
-	// that it is now held for dead.
-	Suspected(now time.Duration, f catalog.Flow, e *balance.Endpoint, waited time.Duration, dead bool)
+	// Suspected: an endpoint left a first packet without a reaction.
+	Suspected(now time.Duration, f catalog.Flow, e *balance.Endpoint, waited time.Duration)
 	Recovered(now time.Duration, e *balance.Endpoint)
 	// Accepted and Answered are times for histograms.
 	Accepted(took time.Duration)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,26 @@
 	FlowLifetime time.Duration
 	Output       Output
 	Observer     Observer
+	// Choose picks endpoints for new flows; nil means balance.Choose. Others
+	// serve as baselines in experiments.
+	Choose func(balance.Request, *balance.Service, []*balance.Endpoint) balance.Choice
+	// Without leaves parts out, to show in tests what they are for.
+	Without Parts
+}
+
+// Parts are decisions that can be left out.
+type Parts struct {
+	// SendingOn gives first packets without a reaction to other endpoints.
+	SendingOn bool
+	// Death ends flows of endpoints that are held for dead.
+	Death bool
+	// Pinning keeps a flow at the endpoint that opened it, whatever later packets
+	// name.
+	Pinning bool
+	// ServiceCheck refuses tokens of endpoints that the route does not allow.
+	ServiceCheck bool
+	// Admission rejects what would be answered too late.
+	Admission bool
 }
 
 // Relay is the state of one traffic goroutine.
@@ -59,10 +79,15 @@
 	name       string
 	seen       balance.Service
 	candidates []*balance.Endpoint
+	// silent tells that endpoints may have left first packets unanswered.
+	silent bool
 }
 
 // New returns a relay that starts at the given time without a view.
 func New(o Options, now time.Duration) *Relay {
+	if o.Choose == nil {
+		o.Choose = balance.Choose
+	}
 	return &Relay{
 		options:   o,
 		started:   now,
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -159,11 +159,11 @@
 }
 
 // Suspected implements relay.Observer.
-func (o *observer) Suspected(now time.Duration, f catalog.Flow, e *balance.Endpoint, waited time.Duration, dead bool) {
+func (o *observer) Suspected(now time.Duration, f catalog.Flow, e *balance.Endpoint, waited time.Duration) {
 	if o.allows(now, o.noteworthy) {
 		event.Log(o.logger, event.EndpointSuspected, slog.String("endpoint", e.Entry.ID),
 			slog.String("flow", f.String()), slog.Duration("waited", waited),
-			slog.Int("unanswered", e.Unanswered()), slog.Bool("dead", dead))
+			slog.Int("unanswered", e.Unanswered()))
 	}
 }
 
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -15,11 +15,11 @@
 	Acknowledgement uint32
 	DataBytes       int
 	// Sum is the ends' keyed checksum, which hosts can't compute.
-	Sum uint32
-	Syn             bool
-	Ack             bool
-	Fin             bool
-	Reset           bool
+	Sum   uint32
+	Syn   bool
+	Ack   bool
+	Fin   bool
+	Reset bool
 	// Forwarded is set on packets that a host has passed on before.
 	Forwarded bool
 }
--- /dev/null
+++ b/standin/emu/host.go
@@ -0,0 +1,305 @@
+package emu
+
+import (
+	"time"
+
+	"toucangap/internal/balance"
+	"toucangap/internal/catalog"
+	"toucangap/internal/relay"
+	"toucangap/platform"
+	"toucangap/standin/ends"
+)
+
+// Host is a host with its relay.
+type Host struct {
+	world  *World
+	index  int
+	Domain string
+	relay  *relay.Relay
+	up     bool
+	// inRotation is what routers believe.
+	inRotation bool
+	frozen     bool
+	backlog    [][]byte
+	timer      timer
+}
+
+func (w *World) addHost(domain string) *Host {
+	h := &Host{world: w, index: len(w.hosts), Domain: domain, inRotation: true}
+	h.timer.world = w
+	w.hosts = append(w.hosts, h)
+	h.boot()
+	return h
+}
+
+// Hosts returns all hosts.
+func (w *World) Hosts() []*Host { return w.hosts }
+
+// boot starts the host's program with nothing known but the view.
+func (h *Host) boot() {
+	o := h.world.Config.Options
+	o.Domain = h.Domain
+	o.Output = h
+	if o.Observer == nil {
+		o.Observer = Quiet{}
+	}
+	if o.MaxFlows == 0 {
+		o.MaxFlows = 100_000
+	}
+	if o.FlowLifetime == 0 {
+		o.FlowLifetime = time.Minute
+	}
+	h.relay = relay.New(o, h.world.now)
+	h.relay.SetView(h.world.now, h.world.directory.View(h.world.now))
+	h.up = true
+}
+
+// Stats returns the counters of the host's program.
+func (h *Host) Stats() relay.Stats { return h.relay.Stats() }
+
+// rotationDelay is how long routers take to see that a host has gone or is back.
+const rotationDelay = time.Second
+
+// Kill ends the host's program; routers find out later. It starts again after
+// the span, if that is above 0.
+func (h *Host) Kill(span time.Duration) {
+	h.up = false
+	w := h.world
+	w.At(w.now+rotationDelay, func() { h.inRotation = h.up })
+	if span <= 0 {
+		return
+	}
+	w.At(w.now+span, func() {
+		h.boot()
+		w.At(w.now+rotationDelay/2, func() { h.inRotation = h.up })
+	})
+}
+
+// Freeze stops the host for a span; what arrives meanwhile waits.
+func (h *Host) Freeze(span time.Duration) {
+	h.frozen = true
+	h.world.At(h.world.now+span, func() {
+		h.frozen = false
+		h.relay.Resume(h.world.now)
+		backlog := h.backlog
+		h.backlog = nil
+		for _, p := range backlog {
+			h.receive(p)
+		}
+		h.schedule()
+	})
+}
+
+// route returns the host that routers select for a flow of a domain.
+func (w *World) route(f catalog.Flow, domain string) *Host {
+	if h := w.best(f, func(h *Host) bool { return h.Domain == domain && h.inRotation }); h != nil {
+		return h
+	}
+	return w.best(f, func(h *Host) bool { return h.inRotation })
+}
+
+func (w *World) best(f catalog.Flow, usable func(*Host) bool) (best *Host) {
+	var top uint64
+	for _, h := range w.hosts {
+		score := (f.Hash() ^ uint64(h.index+1)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+		score ^= score >> 29
+		if usable(h) && (best == nil || score > top) {
+			best, top = h, score
+		}
+	}
+	return best
+}
+
+// fromCaller carries a caller's packet to a host.
+func (w *World) fromCaller(c *caller, f catalog.Flow, packet []byte) {
+	if w.lost() {
+		return
+	}
+	w.At(w.now+w.Config.Callers, func() {
+		if h := w.route(f, c.domain); h != nil && h.up {
+			h.receive(packet)
+		}
+	})
+}
+
+func (h *Host) receive(packet []byte) {
+	if h.frozen {
+		h.backlog = append(h.backlog, packet)
+		return
+	}
+	if !h.up {
+		return
+	}
+	frame := append(make([]byte, platform.IntendedBytes), packet...)
+	s, err := platform.DecodePacket(packet)
+	if err != nil {
+		return
+	}
+	h.relay.Packet(h.world.now, s, frame)
+	h.schedule()
+}
+
+func (h *Host) schedule() {
+	due, ok := h.relay.NextDue()
+	h.timer.schedule(max(due, h.world.now), ok, func() {
+		if h.up && !h.frozen {
+			h.relay.Tick(h.world.now)
+			h.schedule()
+		}
+	})
+}
+
+// Forward implements relay.Output.
+func (h *Host) Forward(e *catalog.Entry, frame []byte) {
+	w := h.world
+	datagram := append([]byte(nil), frame...)
+	platform.Direct(datagram, e.Number, e.Token())
+	if w.lost() {
+		return
+	}
+	to := w.endpointAt(e.Address)
+	if to == nil {
+		return
+	}
+	w.At(w.now+w.delay(h.Domain, to.domain), func() { to.receive(datagram) })
+}
+
+// Reset implements relay.Output.
+func (h *Host) Reset(f catalog.Flow, lastAcknowledgement uint32) {
+	h.world.toCaller(platform.AppendReset(nil, f, lastAcknowledgement))
+}
+
+// Endpoint is an endpoint with its place.
+type Endpoint struct {
+	ends.Endpoint
+	world  *World
+	domain string
+	entry  *catalog.Endpoint
+	timer  timer
+}
+
+// AddEndpoint starts an endpoint that all hosts know at once.
+func (w *World) AddEndpoint(g Group, domain string) *Endpoint {
+	n := uint64(len(w.endpoints) + 1)
+	e := &Endpoint{world: w, domain: domain}
+	e.timer.world = w
+	e.Endpoint = ends.Endpoint{Number: n, Service: g.Service, Slots: g.Slots, Queue: g.Queue, Key: w.key, Ledger: w.Ledger, Slow: 1}
+	e.entry = &catalog.Endpoint{
+		ID: hexID(n), Number: n, Service: g.Service, Slots: g.Slots, Domain: domain,
+		Address: catalog.Address{IP: 0x0a000000 + uint32(n), Port: 80},
+	}
+	w.endpoints = append(w.endpoints, e)
+	w.list(e)
+	return e
+}
+
+func (w *World) list(e *Endpoint) {
+	w.revision++
+	w.directory.PutEndpoint(w.now, e.entry, w.revision)
+	w.publish()
+}
+
+// Endpoints returns the endpoints of a service.
+func (w *World) Endpoints(service string) []*Endpoint {
+	var found []*Endpoint
+	for _, e := range w.endpoints {
+		if e.Service == service {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// Crash makes the endpoint fall silent and forget its flows. Its entry lapses
+// after the given time; it is back after the span, if that is above 0.
+func (e *Endpoint) Crash(lapse, span time.Duration) {
+	w := e.world
+	e.Restart()
+	e.Down = true
+	w.At(w.now+lapse, func() {
+		if e.Down {
+			w.revision++
+			w.directory.RemoveEndpoint(w.now, e.entry.ID, w.revision)
+			w.publish()
+		}
+	})
+	if span > 0 {
+		w.At(w.now+span, func() {
+			e.Down = false
+			w.list(e)
+		})
+	}
+}
+
+// Leave reports that the endpoint is leaving; it goes on serving.
+func (e *Endpoint) Leave(bound time.Duration) {
+	draining := *e.entry
+	draining.Draining = true
+	e.entry = &draining
+	e.LeavesAt = e.world.now + bound
+	e.world.list(e)
+}
+
+func (w *World) endpointAt(a catalog.Address) *Endpoint {
+	n := int(a.IP - 0x0a000000)
+	if n < 1 || n > len(w.endpoints) {
+		return nil
+	}
+	return w.endpoints[n-1]
+}
+
+func (e *Endpoint) receive(datagram []byte) {
+	w := e.world
+	e.send(e.Receive(w.now, intended(datagram), datagram[platform.IntendedBytes:]))
+	e.schedule()
+}
+
+func (e *Endpoint) schedule() {
+	due, ok := e.NextDue()
+	e.timer.schedule(max(due, e.world.now), ok, func() {
+		e.send(e.Tick(e.world.now))
+		e.schedule()
+	})
+}
+
+func (e *Endpoint) send(packets [][]byte) {
+	for _, p := range packets {
+		if !e.world.lost() {
+			e.world.toCaller(p)
+		}
+	}
+}
+
+func intended(datagram []byte) (n uint64) {
+	for _, b := range datagram[:platform.IntendedBytes] {
+		n = n<<8 | uint64(b)
+	}
+	return n
+}
+
+func hexID(n uint64) string {
+	const digits = "0123456789abcdef"
+	b := []byte("i-00000000")
+	for i := len(b) - 1; n > 0; i-- {
+		b[i] = digits[n%16]
+		n /= 16
+	}
+	return string(b)
+}
+
+// Quiet is an observer that does nothing.
+type Quiet struct{}
+
+// The methods of relay.Observer.
+
+func (Quiet) Placed(time.Duration, relay.Placement)                    {}
+func (Quiet) Rejected(time.Duration, relay.Placement, relay.Rejection) {}
+func (Quiet) Dropped(time.Duration, catalog.Flow, relay.Drop)          {}
+func (Quiet) Ended(time.Duration, relay.Ending)                        {}
+func (Quiet) Adopted(time.Duration, catalog.Flow, *catalog.Entry)      {}
+func (Quiet) Contested(time.Duration, catalog.Flow, *catalog.Entry, catalog.Token) {
+}
+func (Quiet) Suspected(time.Duration, catalog.Flow, *balance.Endpoint, time.Duration) {}
+func (Quiet) Recovered(time.Duration, *balance.Endpoint)                              {}
+func (Quiet) Accepted(time.Duration)                                                  {}
+func (Quiet) Answered(time.Duration)                                                  {}
--- /dev/null
+++ b/standin/kv/kv.go
@@ -0,0 +1,270 @@
+// Package kv is the stand-in for the platform's store. It holds keys with
+// revisions, history and leases in memory, speaks the published calls over HTTP,
+// and misbehaves on command.
+package kv
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"toucangap/platform"
+)
+
+// historyLimit bounds the changes that are kept for watches.
+const historyLimit = 10_000
+
+// pageItems bounds a page of a listing.
+const pageItems = 500
+
+// Store is the state. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]platform.Item
+	log      []platform.Change
+	// compacted is the revision up to which the history is gone.
+	compacted uint64
+	leases    map[uint64]*lease
+	nextLease uint64
+	changed   chan struct{}
+	faults    Faults
+	calls     map[string]int
+}
+
+// lease is a lease with the moment of its end.
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Faults are how the store misbehaves.
+type Faults struct {
+	// Busy answers 503, Silent answers nothing, Slow delays answers, LoseWrites
+	// is the share of writes, in percent, that are done and not answered.
+	Busy       bool
+	Silent     bool
+	Slow       time.Duration
+	LoseWrites int
+	// Pause stops the running of leases, else they lapse while the store is away.
+	Pause bool
+}
+
+// New returns an empty store whose revision starts above 0.
+func New() *Store {
+	return &Store{
+		revision:  1,
+		items:     make(map[string]platform.Item),
+		leases:    make(map[uint64]*lease),
+		nextLease: 100,
+		changed:   make(chan struct{}),
+		calls:     make(map[string]int),
+	}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.notify()
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted, s.log = s.revision, nil
+	s.notify()
+}
+
+// Revision returns the store's revision.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Calls returns the number of calls by kind.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make(map[string]int, len(s.calls))
+	for k, n := range s.calls {
+		counts[k] = n
+	}
+	return counts
+}
+
+// Put writes a key as the operator or an endpoint does, with a lease that ends
+// after the given time unless that is 0. An entry that stays the same is only
+// prolonged. It reports false while the store is away.
+func (s *Store) Put(key string, value []byte, ttl time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Busy || s.faults.Silent {
+		return false
+	}
+	s.expire()
+	old, exists := s.items[key]
+	if exists && string(old.Value) == string(value) {
+		if l := s.leases[old.Lease]; l != nil {
+			l.end = time.Now().Add(ttl)
+		}
+		return true
+	}
+	var id uint64
+	if ttl > 0 {
+		id = s.grant(ttl)
+	}
+	s.revision++
+	s.write(platform.Put{Key: key, Value: value, Lease: id})
+	s.notify()
+	return true
+}
+
+// Remove deletes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; ok {
+		s.revision++
+		s.remove(key)
+		s.notify()
+	}
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) grant(ttl time.Duration) uint64 {
+	s.nextLease++
+	s.leases[s.nextLease] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
+	return s.nextLease
+}
+
+// write enters a key at the present revision.
+func (s *Store) write(p platform.Put) {
+	item := platform.Item{Key: p.Key, Value: p.Value, Revision: s.revision, Created: s.revision, Lease: p.Lease}
+	if old, ok := s.items[p.Key]; ok {
+		item.Created = old.Created
+	}
+	s.items[p.Key] = item
+	s.record(platform.Change{Item: item})
+}
+
+func (s *Store) remove(key string) {
+	delete(s.items, key)
+	s.record(platform.Change{Item: platform.Item{Key: key, Revision: s.revision}, Removed: true})
+}
+
+func (s *Store) record(c platform.Change) {
+	s.log = append(s.log, c)
+	if len(s.log) > historyLimit {
+		s.compacted = s.log[0].Revision
+		s.log = slices.Clone(s.log[1:])
+	}
+}
+
+// expire ends leases whose time is over, with their keys.
+func (s *Store) expire() {
+	if s.faults.Pause {
+		return
+	}
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.end) {
+			s.end(id)
+		}
+	}
+}
+
+// end removes a lease and its keys.
+func (s *Store) end(id uint64) {
+	delete(s.leases, id)
+	var keys []string
+	for key, item := range s.items {
+		if item.Lease == id {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		s.revision++
+		s.remove(key)
+	}
+	if len(keys) > 0 {
+		s.notify()
+	}
+}
+
+// list returns a page.
+func (s *Store) list(prefix, after string) platform.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	page := platform.Page{Revision: s.revision, Items: []platform.Item{}}
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page.More = len(keys) > pageItems
+	for _, key := range keys[:min(len(keys), pageItems)] {
+		page.Items = append(page.Items, s.items[key])
+	}
+	return page
+}
+
+// since returns the changes behind a revision, and a channel that is closed at
+// the next one.
+func (s *Store) since(prefix string, revision uint64) (changes platform.Changes, next <-chan struct{}, compacted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if revision < s.compacted {
+		return changes, nil, true
+	}
+	changes.Revision = s.revision
+	changes.Changes = []platform.Change{}
+	for _, c := range s.log {
+		if c.Revision > revision && strings.HasPrefix(c.Key, prefix) {
+			changes.Changes = append(changes.Changes, c)
+		}
+	}
+	return changes, s.changed, false
+}
+
+// commit carries a transaction out; conflict lists the keys whose condition did
+// not hold.
+func (s *Store) commit(t platform.Transaction) (revision uint64, conflict, noLease bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, c := range t.Conditions {
+		if s.items[c.Key].Revision != c.Revision {
+			return 0, true, false
+		}
+	}
+	for _, p := range t.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return 0, false, true
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.write(p)
+	}
+	for _, key := range t.Removals {
+		if _, ok := s.items[key]; ok {
+			s.remove(key)
+		}
+	}
+	s.notify()
+	return s.revision, false, false
+}
--- /dev/null
+++ b/standin/kv/serve.go
@@ -0,0 +1,187 @@
+package kv
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"toucangap/platform"
+)
+
+// mostWait bounds a watch.
+const mostWait = 30 * time.Second
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	path := strings.TrimPrefix(r.URL.Path, "/toucangap/")
+	query := r.URL.Query()
+	switch {
+	case path == "kv-range":
+		reply(w, http.StatusOK, s.list(query.Get("Prefix"), query.Get("after")))
+	case path == "kv-watch":
+		s.watch(w, r)
+	case path == "kv-key":
+		s.key(w, query.Get("Key"))
+	case path == "kv-txn":
+		s.transaction(w, r)
+	case path == "kv-lease":
+		s.newLease(w, r)
+	case strings.HasPrefix(path, "kv-keep/"):
+		s.renew(w, strings.TrimPrefix(path, "kv-keep/"))
+	case strings.HasPrefix(path, "kv-lease-end/"):
+		s.endLease(w, strings.TrimPrefix(path, "kv-lease-end/"))
+	default:
+		reply(w, http.StatusNotFound, struct{}{})
+	}
+}
+
+// admit applies the faults and reports whether the call is carried out.
+func (s *Store) admit(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	f := s.faults
+	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/toucangap/"), "/")
+	s.calls[kind]++
+	s.mu.Unlock()
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+		return false
+	case f.Busy:
+		reply(w, http.StatusServiceUnavailable, struct{}{})
+		return false
+	case f.Slow > 0:
+		time.Sleep(f.Slow)
+	}
+	return true
+}
+
+// lose reports whether the answer to a write is to be lost; the connection then
+// stays silent until the caller gives up.
+func (s *Store) lose(r *http.Request) bool {
+	s.mu.Lock()
+	percent := s.faults.LoseWrites
+	s.mu.Unlock()
+	if rand.IntN(100) >= percent {
+		return false
+	}
+	<-r.Context().Done()
+	return true
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has gone needs no answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, err2 := strconv.Atoi(query.Get("WaitMs"))
+	if err != nil || err2 != nil {
+		reply(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	deadline := time.NewTimer(min(time.Duration(wait)*time.Millisecond, mostWait))
+	defer deadline.Stop()
+	for {
+		changes, next, compacted := s.since(query.Get("Prefix"), since)
+		if compacted {
+			reply(w, http.StatusGone, struct{}{})
+			return
+		}
+		if len(changes.Changes) > 0 {
+			reply(w, http.StatusOK, changes)
+			return
+		}
+		select {
+		case <-next:
+		case <-deadline.C:
+			reply(w, http.StatusOK, changes)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) key(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	s.expire()
+	item, ok := s.items[key]
+	s.mu.Unlock()
+	if !ok {
+		reply(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	reply(w, http.StatusOK, item)
+}
+
+func (s *Store) transaction(w http.ResponseWriter, r *http.Request) {
+	var t platform.Transaction
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		reply(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	for _, p := range t.Puts {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			reply(w, http.StatusForbidden, struct{}{})
+			return
+		}
+	}
+	revision, conflict, noLease := s.commit(t)
+	switch {
+	case s.lose(r):
+	case conflict:
+		reply(w, http.StatusPreconditionFailed, struct{}{})
+	case noLease:
+		reply(w, http.StatusNotFound, struct{}{})
+	default:
+		reply(w, http.StatusOK, map[string]uint64{"Revision": revision})
+	}
+}
+
+func (s *Store) newLease(w http.ResponseWriter, r *http.Request) {
+	var body struct{ TtlMs int64 }
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		reply(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	s.mu.Lock()
+	id := s.grant(time.Duration(body.TtlMs) * time.Millisecond)
+	s.mu.Unlock()
+	if !s.lose(r) {
+		reply(w, http.StatusOK, map[string]any{"Lease": id, "TtlMs": body.TtlMs})
+	}
+}
+
+func (s *Store) renew(w http.ResponseWriter, text string) {
+	id, _ := strconv.ParseUint(text, 10, 64)
+	s.mu.Lock()
+	s.expire()
+	l := s.leases[id]
+	if l != nil {
+		l.end = time.Now().Add(l.ttl)
+	}
+	s.mu.Unlock()
+	if l == nil {
+		reply(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	reply(w, http.StatusOK, map[string]int64{"TtlMs": l.ttl.Milliseconds()})
+}
+
+func (s *Store) endLease(w http.ResponseWriter, text string) {
+	id, _ := strconv.ParseUint(text, 10, 64)
+	s.mu.Lock()
+	s.end(id)
+	s.mu.Unlock()
+	reply(w, http.StatusOK, struct{}{})
+}
