Add an emulator in virtual time and a fault soak over real daemons

standin/ends holds both ends of a flow as the protocol describes them, standin/emu plays them in virtual time with real relays, standin/kv is the store, standin/site runs daemons as processes between stand-ins and proxies, and standin/soak plays seeded schedules of faults with checks (tg-soak).

--- /dev/null
+++ b/standin/binaries/tg-soak/main.go
@@ -0,0 +1,141 @@
+// Command tg-soak plays seeded schedules of faults against a small deployment of
+// real daemons on loopback addresses. It exits with status 1 when something
+// happened that must not.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/urfave/cli/v3"
+
+	"toucangap/standin/soak"
+)
+
+// errViolation tells that a schedule failed.
+var errViolation = merry.Sentinel("something happened that must not")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "tg-soak:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "tg-soak",
+		Usage: "play random faults against real daemons and check what callers and endpoints see",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "daemon", Value: "bin/toucangapd", Usage: "the daemon's `PROGRAM`"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first `SEED`"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds"},
+			&cli.DurationFlag{Name: "faults", Value: 8 * time.Second, Usage: "span in which faults begin"},
+			&cli.IntFlag{Name: "domains", Value: 3, Usage: "failure domains"},
+			&cli.IntFlag{Name: "hosts", Value: 2, Usage: "hosts of each domain"},
+			&cli.FloatFlag{Name: "rate", Value: 150, Usage: "requests a second"},
+			&cli.IntFlag{Name: "port", Value: 18100, Usage: "first of ten ports on 127.0.0.0/8"},
+			&cli.BoolFlag{Name: "calm", Usage: "play no faults, only the load"},
+			&cli.BoolFlag{Name: "keep", Usage: "keep the hosts' logs"},
+			&cli.BoolFlag{Name: "reduce", Usage: "leave faults out of a failing schedule for as long as it fails"},
+			&cli.StringFlag{Name: "schedule", Usage: "play the schedule in `FILE` instead of seeds"},
+			&cli.StringFlag{Name: "out", Usage: "write reports and plots to `DIR`"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	o := soak.Options{
+		Daemon: c.String("daemon"), Port: c.Int("port"), Faults: c.Duration("faults"),
+		Domains: c.Int("domains"), Hosts: c.Int("hosts"), Rate: c.Float("rate"), Keep: c.Bool("keep"),
+	}
+	schedules, err := schedulesOf(c, o)
+	if err != nil {
+		return err
+	}
+	failed := 0
+	for _, schedule := range schedules {
+		report, err := soak.Play(ctx, o, schedule)
+		if err != nil {
+			return err
+		}
+		fmt.Print(report.Text())
+		if err := write(c.String("out"), &report); err != nil {
+			return err
+		}
+		if len(report.Violations) == 0 {
+			continue
+		}
+		failed++
+		if c.Bool("reduce") {
+			if err := reduce(ctx, o, schedule); err != nil {
+				return err
+			}
+		}
+	}
+	fmt.Printf("%d passed, %d failed\n", len(schedules)-failed, failed)
+	if failed > 0 {
+		return errViolation
+	}
+	return nil
+}
+
+func schedulesOf(c *cli.Command, o soak.Options) ([]soak.Schedule, error) {
+	if path := c.String("schedule"); path != "" {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		var s soak.Schedule
+		return []soak.Schedule{s}, errors.Join(json.Unmarshal(data, &s))
+	}
+	var schedules []soak.Schedule
+	for i := range c.Int("seeds") {
+		s := soak.NewSchedule(c.Uint64("seed")+uint64(i), o.Faults)
+		if c.Bool("calm") {
+			s.Faults = nil
+		}
+		schedules = append(schedules, s)
+	}
+	return schedules, nil
+}
+
+func reduce(ctx context.Context, o soak.Options, failing soak.Schedule) error {
+	shortest, err := soak.Reduce(ctx, o, failing)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(shortest)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("shortest failing schedule: %s\n", text)
+	return nil
+}
+
+// write stores a report with its plot.
+func write(dir string, report *soak.Report) error {
+	if dir == "" {
+		return nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	base := filepath.Join(dir, fmt.Sprintf("soak-%d", report.Schedule.Seed))
+	text, err := json.MarshalIndent(report, "", " ")
+	if err != nil {
+		return err
+	}
+	return errors.Join(os.WriteFile(base+".json", text, 0o644), report.Plot(base+".svg"))
+}
--- a/standin/ends/ends.go
+++ b/standin/ends/ends.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucangap/internal/catalog"
 	"toucangap/internal/segment"
 	"toucangap/platform"
 )
@@ -62,6 +63,13 @@
 	return s, data, nil
 }
 
+// Ends returns the flow that a packet to a caller belongs to, seen from the
+// caller.
+func Ends(packet []byte) (catalog.Flow, error) {
+	s, err := platform.Decode(packet)
+	return reverse(s.Flow), err
+}
+
 // Request is what a caller asks, as it travels in a flow.
 type Request struct {
 	ID uint64
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,341 @@
+// Package site runs a small deployment on loopback addresses: hosts as separate
+// processes of the real daemon, and around them the store, endpoints, callers
+// and routers as stand-ins in this process. Between them stand proxies that
+// harm streams and datagrams on command.
+//
+// Addresses: callers have 127.1.D.N, hosts 127.2.D.N, endpoints 127.3.0.N, all
+// at one port for packets, as the platform has it; proxies have 127.5 (packets
+// to hosts), 127.6 (packets to endpoints) and 127.7 (the store).
+package site
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucangap/internal/catalog"
+	"toucangap/standin/ends"
+	"toucangap/standin/kv"
+)
+
+// Options describe a deployment and its load.
+type Options struct {
+	// Daemon is the path of the daemon's program, Dir a directory for settings
+	// and logs.
+	Daemon string
+	Dir    string
+	// Port is the first of the ports that are used on each address.
+	Port int
+	Seed uint64
+	// Domains, Hosts and Endpoints count failure domains, hosts of each, and
+	// endpoints of each service.
+	Domains   int
+	Hosts     int
+	Endpoints int
+	// Rate is the number of requests a second.
+	Rate float64
+}
+
+// The services and the classes of requests.
+const (
+	serviceMain  = "main"
+	serviceOther = "other"
+)
+
+// class is one kind of request.
+type class struct {
+	route   uint16
+	service string
+	once    bool
+	work    time.Duration
+	answer  int
+	timeout time.Duration
+	share   float64
+}
+
+var classes = []class{
+	{443, serviceMain, false, 10 * time.Millisecond, 1000, 800 * time.Millisecond, 0.6},
+	{444, serviceMain, true, 15 * time.Millisecond, 600, time.Second, 0.25},
+	{445, serviceOther, false, 5 * time.Millisecond, 20_000, 3 * time.Second, 0.15},
+}
+
+// routeIP is the address that callers send to.
+const routeIP = 0xc6120001
+
+// The times of the deployment.
+const (
+	heartbeat = 400 * time.Millisecond
+	// DrainBound is the time after which no flow may begin at a leaving endpoint;
+	// ConfigBound that within which a configuration is in force.
+	DrainBound  = 3 * time.Second
+	ConfigBound = 3 * time.Second
+	// StopBound is the time from SIGTERM to SIGKILL.
+	StopBound = 4 * time.Second
+	// stable is how long after a fault something counts as calm again.
+	stable = 4 * time.Second
+)
+
+// Site is a running deployment.
+type Site struct {
+	Options Options
+	Store   *kv.Store
+	Result  *Result
+
+	mu        sync.Mutex
+	started   time.Time
+	rng       *rand.Rand
+	key       ends.Key
+	ledger    *ends.Ledger
+	hosts     []*Host
+	endpoints []*Endpoint
+	callers   []*caller
+	version   uint64
+	requests  uint64
+	owed      float64
+	lastTick  time.Duration
+	// loaded tells that callers send requests.
+	loaded bool
+	// disturbed is until when the rules on flows and bounds allow for faults.
+	disturbed time.Duration
+	wait      sync.WaitGroup
+	done      chan struct{}
+	servers   []*http.Server
+}
+
+// New starts the stand-ins and the hosts.
+func New(o Options) (*Site, error) {
+	s := &Site{
+		Options: o,
+		Store:   kv.New(),
+		Result:  newResult(),
+		started: time.Now(),
+		rng:     rand.New(rand.NewPCG(o.Seed, 3)),
+		key:     ends.Key(o.Seed*2 + 1),
+		ledger:  ends.NewLedger(),
+		done:    make(chan struct{}),
+	}
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start() error {
+	if err := s.serveStore(); err != nil {
+		return err
+	}
+	s.Configure()
+	for i := range s.Options.Endpoints {
+		for _, service := range []string{serviceMain, serviceOther} {
+			if _, err := s.AddEndpoint(service, domain(i%s.Options.Domains)); err != nil {
+				return err
+			}
+		}
+	}
+	for d := range s.Options.Domains {
+		for range s.Options.Hosts {
+			if err := s.addHost(d); err != nil {
+				return err
+			}
+		}
+		for i := range 4 {
+			if err := s.addCaller(d, i); err != nil {
+				return err
+			}
+		}
+	}
+	s.background(5*time.Millisecond, s.tick)
+	s.background(heartbeat, s.beat)
+	s.background(500*time.Millisecond, s.probe)
+	return nil
+}
+
+func domain(i int) string { return fmt.Sprintf("d%d", i) }
+
+// background runs a function again and again until the end.
+func (s *Site) background(interval time.Duration, run func()) {
+	s.wait.Go(func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-s.done:
+				return
+			case <-ticker.C:
+				run()
+			}
+		}
+	})
+}
+
+// storeAddress is where the store listens.
+func (s *Site) storeAddress() string { return fmt.Sprintf("127.4.0.1:%d", s.Options.Port+8) }
+
+func (s *Site) serveStore() error {
+	listener, err := net.Listen("tcp4", s.storeAddress())
+	if err != nil {
+		return merry.Prepend(err, "listen for the store")
+	}
+	server := &http.Server{Handler: s.Store}
+	s.servers = append(s.servers, server)
+	s.wait.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
+// now is the time since the start.
+func (s *Site) now() time.Duration { return time.Since(s.started) }
+
+// Disturb notes that a fault is in force until the given time from now and that
+// the rules with a time bound allow for it.
+func (s *Site) Disturb(span time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disturbed = max(s.disturbed, s.now()+span+stable)
+}
+
+// Configure writes the next version of the configuration. While the store is
+// away there is none.
+func (s *Site) Configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version := s.version + 1 + s.rng.Uint64N(3)
+	if s.Store.Put("op/config", []byte(configuration(version)), 0) {
+		s.version = version
+	}
+}
+
+// configuration returns a version's text; each has a route of its own.
+func configuration(version uint64) string {
+	text := fmt.Sprintf(`{"Version":%d,"Routes":[`, version)
+	for i, c := range classes {
+		kind := "safe"
+		if c.once {
+			kind = "unsafe"
+		}
+		text += fmt.Sprintf(`{"Name":"r%d","Hostname":"198.18.0.1","Prefix":"/%d/","RouteType":%q,"TimeoutMs":%d,`+
+			`"TargetLatencyMs":200,"Priority":%d,"Service":%q},`, i, c.route, kind, c.timeout.Milliseconds(), i, c.service)
+	}
+	text += fmt.Sprintf(`{"Name":"v","Hostname":"198.18.0.9","Prefix":"/%d/","RouteType":"safe","TimeoutMs":500,`+
+		`"TargetLatencyMs":200,"Priority":2,"Service":"other"}],`, 1000+version%1000)
+	return text + `"Services":[{"Name":"main","HealthCheckPath":"/h","MaxConnections":2000},` +
+		`{"Name":"other","HealthCheckPath":"/h","MaxConnections":2000}],"Limits":{"IdleTimeoutMs":15000}}`
+}
+
+// Version returns the newest version.
+func (s *Site) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// tick lets both ends do what is due, and begins requests.
+func (s *Site) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, e := range s.endpoints {
+		e.send(e.Tick(now))
+	}
+	for _, c := range s.callers {
+		c.tick(now)
+	}
+	s.arrivals(now)
+}
+
+// Load starts or ends the callers' requests.
+func (s *Site) Load(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loaded = on
+}
+
+// Locked runs f while nothing else changes the stand-ins.
+func (s *Site) Locked(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// Calm reports whether no fault counts any more.
+func (s *Site) Calm() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() > s.disturbed
+}
+
+// Violate notes what must not have happened.
+func (s *Site) Violate(text string) { s.Result.violate(s.now(), text) }
+
+// Last adds up the requests asked in the span before the last second, whose own
+// may still be in progress.
+func (s *Site) Last(span time.Duration) (t Second) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := len(s.Result.Seconds) - 2
+	for i := max(0, end-int(span/time.Second)); i < end; i++ {
+		t.Asked += s.Result.Seconds[i].Asked
+		t.Answered += s.Result.Seconds[i].Answered
+		t.Failed += s.Result.Seconds[i].Failed
+	}
+	return t
+}
+
+// Finish takes the endpoints' ledger into the result.
+func (s *Site) Finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range []struct {
+		name string
+		n    int
+	}{
+		{"requests ran twice", len(s.ledger.Twice)},
+		{"requests ran at another service", len(s.ledger.Foreign)},
+		{"packets that their sender did not write", s.ledger.Forged},
+		{"flows began at leaving endpoints too late", s.ledger.LateOpenings},
+	} {
+		if v.n > 0 {
+			s.Result.violate(s.now(), fmt.Sprintf("%s: %d", v.name, v.n))
+		}
+	}
+}
+
+// Hosts returns the hosts.
+func (s *Site) Hosts() []*Host { return s.hosts }
+
+// Close ends everything that the site has started.
+func (s *Site) Close() {
+	select {
+	case <-s.done:
+		return
+	default:
+		close(s.done)
+	}
+	for _, h := range s.hosts {
+		h.end()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.mu.Lock()
+	for _, e := range s.endpoints {
+		e.close()
+	}
+	for _, c := range s.callers {
+		_ = c.conn.Close()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+}
+
+// addressOf returns an IPv4 address as the product has it.
+func addressOf(a netip.AddrPort) catalog.Address {
+	address, _ := catalog.AddressFrom(a)
+	return address
+}
--- /dev/null
+++ b/standin/soak/schedule.go
@@ -0,0 +1,172 @@
+// Package soak plays random faults against a small deployment of real daemons
+// and checks what callers, endpoints and the store see meanwhile. One seed makes
+// one schedule.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"toucangap/standin/kv"
+	"toucangap/standin/site"
+)
+
+// Fault is one fault of a schedule.
+type Fault struct {
+	At   time.Duration `json:"at"`
+	Kind string        `json:"kind"`
+	// Target selects the host or endpoint; Span is how long it lasts.
+	Target int           `json:"target"`
+	Span   time.Duration `json:"span"`
+	// Level is how strong it is, from 0 to 99.
+	Level int `json:"level"`
+}
+
+// String describes the fault.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s of %d for %s, level %d", f.Kind, f.Target, f.Span, f.Level)
+}
+
+// kind is a kind of fault with what it does.
+type kind struct {
+	name string
+	// disturbs tells that the rules with time bounds allow for it.
+	disturbs bool
+	play     func(s *site.Site, f Fault)
+}
+
+// kinds are all faults, in an order that seeds depend on: new ones go last.
+var kinds = []kind{
+	{"stop", false, stopHost},
+	{"kill", true, func(s *site.Site, f Fault) { host(s, f).Signal(syscall.SIGKILL) }},
+	{"pause", true, pauseHost},
+	{"reload", false, func(s *site.Site, f Fault) { host(s, f).Signal(syscall.SIGHUP) }},
+	{"store-cut", true, func(s *site.Site, f Fault) { host(s, f).Store.Set(site.Harm{CutUp: true, CutDown: true}, f.Span) }},
+	{"store-half-cut", true, func(s *site.Site, f Fault) { host(s, f).Store.Set(site.Harm{CutDown: true}, f.Span) }},
+	{"store-reset", true, func(s *site.Site, f Fault) { host(s, f).Store.Set(site.Harm{Reset: true, Refuse: true}, f.Span) }},
+	{"store-slow-link", true, func(s *site.Site, f Fault) {
+		host(s, f).Store.Set(site.Harm{Delay: time.Duration(f.Level) * 10 * time.Millisecond}, f.Span)
+	}},
+	{"store-busy", true, storeFault(func(Fault) kv.Faults { return kv.Faults{Busy: true} })},
+	{"store-silent", true, storeFault(func(Fault) kv.Faults { return kv.Faults{Silent: true} })},
+	{"store-slow", true, storeFault(func(f Fault) kv.Faults {
+		return kv.Faults{Slow: time.Duration(f.Level) * 3 * time.Millisecond}
+	})},
+	{"store-loses", true, storeFault(func(f Fault) kv.Faults { return kv.Faults{LoseWrites: f.Level} })},
+	{"store-forgets", true, func(s *site.Site, _ Fault) { s.Store.Compact() }},
+	{"packets-harmed", true, func(s *site.Site, f Fault) {
+		host(s, f).Packets.Set(site.Harm{Lose: f.Level / 10, Duplicate: f.Level / 5, Reorder: f.Level / 5}, f.Span)
+	}},
+	{"packets-cut", true, func(s *site.Site, f Fault) { host(s, f).Packets.Set(site.Harm{CutUp: true}, f.Span) }},
+	{"endpoint-crash", true, endpointFault(func(e *site.Endpoint, f Fault) { e.Crash(f.Span) })},
+	{"endpoint-drain", false, endpointFault(func(e *site.Endpoint, _ Fault) { e.Drain() })},
+	{"endpoint-slow", false, endpointFault(func(e *site.Endpoint, f Fault) { e.SlowDown(1 + float64(f.Level)/20) })},
+	{"endpoint-link", true, endpointFault(func(e *site.Endpoint, f Fault) {
+		e.HarmLink(site.Harm{Lose: f.Level / 4, Duplicate: f.Level / 5, Reorder: f.Level / 5}, f.Span)
+	})},
+	{"endpoint-cut", true, endpointFault(func(e *site.Endpoint, f Fault) { e.HarmLink(site.Harm{CutUp: true}, f.Span) })},
+	{"endpoint-added", false, addEndpoint},
+	{"configure", false, func(s *site.Site, _ Fault) { s.Configure() }},
+	{"configure-storm", false, configureStorm},
+	{"kill-all", true, func(s *site.Site, _ Fault) {
+		for _, h := range s.Hosts() {
+			h.Signal(syscall.SIGKILL)
+		}
+	}},
+}
+
+func find(name string) kind {
+	i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == name })
+	return kinds[i]
+}
+
+// Schedule is the faults of one seed in order.
+type Schedule struct {
+	Seed   uint64  `json:"seed"`
+	Faults []Fault `json:"faults"`
+}
+
+// mostFaults bounds the faults of a schedule; they overlap.
+const mostFaults = 14
+
+// NewSchedule draws the faults of a seed within the span.
+func NewSchedule(seed uint64, span time.Duration) Schedule {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	s := Schedule{Seed: seed}
+	for range 3 + rng.IntN(mostFaults-2) {
+		s.Faults = append(s.Faults, Fault{
+			At:     time.Second + time.Duration(rng.Int64N(int64(span))),
+			Kind:   kinds[rng.IntN(len(kinds))].name,
+			Target: rng.IntN(1000),
+			Span:   time.Duration(200+rng.IntN(3800)) * time.Millisecond,
+			Level:  rng.IntN(100),
+		})
+	}
+	slices.SortFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return s
+}
+
+func host(s *site.Site, f Fault) *site.Host { return s.Hosts()[f.Target%len(s.Hosts())] }
+
+func stopHost(s *site.Site, f Fault) {
+	h := host(s, f)
+	go func() {
+		if h.Running() && !h.Stop() {
+			s.Violate("planned stop of " + h.Name + " took too long")
+		}
+	}()
+}
+
+func pauseHost(s *site.Site, f Fault) {
+	h := host(s, f)
+	h.Pause(f.Span)
+}
+
+// storeFault harms the store as a whole for a span.
+func storeFault(faults func(Fault) kv.Faults) func(*site.Site, Fault) {
+	return func(s *site.Site, f Fault) {
+		s.Store.SetFaults(faults(f))
+		time.AfterFunc(f.Span, func() { s.Store.SetFaults(kv.Faults{}) })
+	}
+}
+
+// leastUsable is the number of endpoints of a service that are left alone.
+const leastUsable = 2
+
+// endpointFault harms an endpoint unless its service would be left with too few.
+func endpointFault(harm func(*site.Endpoint, Fault)) func(*site.Site, Fault) {
+	return func(s *site.Site, f Fault) {
+		var usable []*site.Endpoint
+		byService := make(map[string]int)
+		s.Endpoints(func(e *site.Endpoint) {
+			if e.Usable() {
+				usable = append(usable, e)
+				byService[e.Service]++
+			}
+		})
+		if len(usable) == 0 {
+			return
+		}
+		e := usable[f.Target%len(usable)]
+		if byService[e.Service] <= leastUsable {
+			return
+		}
+		s.Locked(func() { harm(e, f) })
+	}
+}
+
+func addEndpoint(s *site.Site, f Fault) {
+	services := []string{"main", "other"}
+	if _, err := s.AddEndpoint(services[f.Target%2], fmt.Sprintf("d%d", f.Level%s.Options.Domains)); err != nil {
+		s.Violate("endpoint does not start: " + err.Error())
+	}
+}
+
+func configureStorm(s *site.Site, f Fault) {
+	for i := range 5 + f.Level/10 {
+		time.AfterFunc(time.Duration(i)*100*time.Millisecond, s.Configure)
+	}
+}
--- /dev/null
+++ b/standin/soak/text.go
@@ -0,0 +1,29 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Text renders the report for people.
+func (r *Report) Text() string {
+	var b strings.Builder
+	verdict := "passed"
+	if len(r.Violations) > 0 {
+		verdict = "FAILED"
+	}
+	fmt.Fprintf(&b, "seed %d: %s; %d faults; %d asked, %d answered, %d failed; median %.1f ms, p99 %.1f ms\n",
+		r.Schedule.Seed, verdict, len(r.Schedule.Faults), r.Total.Asked, r.Total.Answered, r.Total.Failed,
+		r.MedianUs/1000, r.HighUs/1000)
+	if len(r.Violations) == 0 {
+		return b.String()
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintf(&b, "  fault      %s\n", f)
+	}
+	for _, v := range r.Violations {
+		fmt.Fprintf(&b, "  violation  %s\n", v)
+	}
+	fmt.Fprintf(&b, "  logs in %s\n", r.Directory)
+	return b.String()
+}
