Let a host that starts behind a cut ask its neighbours

Change: a host without a view asks the seeds of its settings for theirs after 200 ms (the feed is served at the control address; a client without the hosts' secret is not told it), and a planned stop waits only while fewer than half of the domain's hosts would be left in rotation. Settings are read again when the file changes without a signal.

--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -66,6 +66,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	go d.WatchSettings(ctx, path)
 	go func() {
 		stopping := false
 		for received := range signals {
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -17,7 +17,8 @@
 type Client struct {
 	// Host is the name of this host.
 	Host string
-	// Secret is the hosts' secret.
+	// Secret is the hosts' secret. Without it the peer is trusted by its address
+	// alone, and does not tell the secret.
 	Secret []byte
 	// Revision is what this host is complete up to.
 	Revision uint64
@@ -81,12 +82,12 @@
 	if err := conn.receive(&challenge, handshakeTimeout); err != nil {
 		return err
 	}
-	if !hmac.Equal(challenge.Proof, prove(c.Secret, roleServer, nonce, challenge.Nonce)) {
-		return ErrProof
-	}
-	subscribe := &feedpb.Subscribe{
-		Proof:    prove(c.Secret, roleClient, challenge.Nonce, nonce),
-		Revision: c.Revision,
+	subscribe := &feedpb.Subscribe{Revision: c.Revision}
+	if len(c.Secret) > 0 {
+		if !hmac.Equal(challenge.Proof, prove(c.Secret, roleServer, nonce, challenge.Nonce)) {
+			return ErrProof
+		}
+		subscribe.Proof = prove(c.Secret, roleClient, challenge.Nonce, nonce)
 	}
 	if err := conn.send(subscribe, handshakeTimeout); err != nil {
 		return err
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,150 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangap/internal/feed/feedpb"
+	"toucangap/internal/follow"
+	"toucangap/platform"
+)
+
+// fakeSource is what a server tells.
+type fakeSource struct {
+	mu      sync.Mutex
+	secret  []byte
+	batch   follow.Batch
+	changed chan struct{}
+	asked   []uint64
+}
+
+func newSource(proven time.Duration) *fakeSource {
+	return &fakeSource{
+		secret:  []byte("the hosts' secret"),
+		changed: make(chan struct{}),
+		batch: follow.Batch{Complete: true, Revision: 7, Proven: proven, Changes: []platform.Change{
+			{Item: platform.Item{Key: platform.SecretKey, Value: []byte("the hosts' secret"), Revision: 2}},
+			{Item: platform.Item{Key: "servers/i-1", Value: []byte("v"), Revision: 3}},
+			{Item: platform.Item{Key: "servers/i-2", Revision: 4}, Removed: true},
+		}},
+	}
+}
+
+func (s *fakeSource) Secret(context.Context) []byte { return s.secret }
+
+func (s *fakeSource) Since(_ context.Context, revision uint64) (follow.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, revision)
+	return s.batch, nil
+}
+
+func (s *fakeSource) Changed() <-chan struct{} { return s.changed }
+
+// clockAt returns a clock that runs from a reading on.
+func clockAt(reading time.Duration) func() time.Duration {
+	begun := time.Now()
+	return func() time.Duration { return reading + time.Since(begun) }
+}
+
+// serveOn serves the source on a loopback address.
+func serveOn(t *testing.T, source Source, awake func() time.Duration) follow.Host {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	server := &Server{Source: source, Logger: slog.New(slog.DiscardHandler), Silence: 5 * time.Second, Awake: awake}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		listener.Close()
+		require.NoError(t, <-done)
+	})
+	return follow.Host{Name: "peer", Feed: netip.MustParseAddrPort(listener.Addr().String())}
+}
+
+// take follows the peer until the first batch.
+func take(t *testing.T, peer follow.Host, c Client) (batch follow.Batch, err error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	c.Host, c.Interval, c.Silence = "me", time.Second, 5*time.Second
+	c.Connected = func() {}
+	c.Take = func(b follow.Batch) {
+		batch = b
+		cancel()
+	}
+	return batch, c.Follow(ctx, peer)
+}
+
+func TestNewsArriveWhole(t *testing.T) {
+	source := newSource(40 * time.Second)
+	peer := serveOn(t, source, clockAt(42*time.Second))
+	batch, _ := take(t, peer, Client{Secret: source.secret, Revision: 5, MaxAge: time.Minute, Awake: clockAt(1000 * time.Second)})
+	require.Equal(t, source.batch.Changes, batch.Changes)
+	require.Equal(t, uint64(7), batch.Revision)
+	require.True(t, batch.Complete)
+	require.Equal(t, []uint64{5}, source.asked[:1])
+	// Two seconds old by the server's clock, on the client's; never newer.
+	require.LessOrEqual(t, batch.Proven, 998*time.Second)
+	require.Greater(t, batch.Proven, 990*time.Second)
+}
+
+// TestStrangersAreNotToldTheSecret: a host that starts without the secret gets
+// the rest.
+func TestStrangersAreNotToldTheSecret(t *testing.T) {
+	source := newSource(0)
+	peer := serveOn(t, source, clockAt(0))
+	batch, _ := take(t, peer, Client{MaxAge: time.Minute, Awake: clockAt(0)})
+	require.Equal(t, source.batch.Changes[1:], batch.Changes)
+}
+
+func TestBothEndsProveThemselves(t *testing.T) {
+	source := newSource(0)
+	peer := serveOn(t, source, clockAt(0))
+	_, err := take(t, peer, Client{Secret: []byte("another"), MaxAge: time.Minute, Awake: clockAt(0)})
+	require.ErrorIs(t, err, ErrProof, "the client checks the server")
+
+	conn, err := net.Dial("tcp4", peer.Feed.String())
+	require.NoError(t, err)
+	defer conn.Close()
+	c := newConnection(conn)
+	require.NoError(t, c.send(&feedpb.Hello{Host: "x", Nonce: newNonce()}, time.Second))
+	var challenge feedpb.Challenge
+	require.NoError(t, c.receive(&challenge, 5*time.Second))
+	require.NoError(t, c.send(&feedpb.Subscribe{Proof: challenge.Proof}, time.Second), "the server's own proof, reflected")
+	var news feedpb.News
+	require.Error(t, c.receive(&news, 5*time.Second))
+}
+
+func TestStaleKnowledgeEndsAFeed(t *testing.T) {
+	source := newSource(10 * time.Second)
+	peer := serveOn(t, source, clockAt(100*time.Second))
+	var taken bool
+	c := Client{
+		Host: "me", Secret: source.secret, Interval: time.Second, Silence: 5 * time.Second, MaxAge: 2 * time.Second,
+		Awake: clockAt(0), Connected: func() {}, Take: func(follow.Batch) { taken = true },
+	}
+	require.ErrorIs(t, c.Follow(t.Context(), peer), ErrStale)
+	require.True(t, taken, "old news are better than none")
+}
+
+// TestHeldUpNewsLookOld: a message that a cut has held up for long does not make
+// the client believe that its knowledge is fresh.
+func TestHeldUpNewsLookOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		awake := clockAt(50 * time.Second)
+		news := &feedpb.News{StampUs: awake().Microseconds(), AgeUs: 1_000_000, HeldUs: 200_000}
+		want := 49200 * time.Millisecond
+		require.Equal(t, want, provenAt(news))
+		time.Sleep(time.Hour)
+		require.Equal(t, want, provenAt(news))
+	})
+}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -13,6 +13,7 @@
 	"toucangap/internal/event"
 	"toucangap/internal/feed/feedpb"
 	"toucangap/internal/follow"
+	"toucangap/platform"
 )
 
 // maxClients bounds the connections that are served at once: the hosts of a
@@ -73,16 +74,16 @@
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	conn := newConnection(raw)
-	host, revision, err := s.handshake(ctx, conn)
+	c, err := s.handshake(ctx, conn)
 	if err != nil {
 		s.refuse(raw, err)
 		return
 	}
-	event.Log(s.Logger, event.FeedServing, slog.String("host", host), slog.Uint64("revision", revision))
+	event.Log(s.Logger, event.FeedServing, slog.String("host", c.host), slog.Uint64("revision", c.revision), slog.Bool("proven", c.proven))
 	pings := make(chan ping, 1)
 	go s.readPings(conn, pings)
-	err = s.feed(ctx, conn, revision, pings)
-	event.Log(s.Logger, event.FeedLost, slog.String("host", host), slog.String("error", errorText(err)))
+	err = s.feed(ctx, conn, c, pings)
+	event.Log(s.Logger, event.FeedLost, slog.String("host", c.host), slog.String("error", errorText(err)))
 }
 
 // ping is a client's ping with the moment of its arrival.
@@ -103,32 +104,41 @@
 	}
 }
 
-func (s *Server) handshake(ctx context.Context, conn *connection) (host string, revision uint64, err error) {
+// client is a client after its handshake.
+type client struct {
+	host     string
+	revision uint64
+	// proven tells that it knows the hosts' secret.
+	proven bool
+}
+
+func (s *Server) handshake(ctx context.Context, conn *connection) (c client, err error) {
 	var hello feedpb.Hello
 	if err := conn.receive(&hello, handshakeTimeout); err != nil {
-		return "", 0, err
+		return c, err
 	}
 	secret := s.Source.Secret(ctx)
 	if len(secret) == 0 {
-		return "", 0, merry.New("the hosts' secret is not known yet")
+		return c, merry.New("the hosts' secret is not known yet")
 	}
 	nonce := newNonce()
 	challenge := &feedpb.Challenge{Nonce: nonce, Proof: prove(secret, roleServer, hello.Nonce, nonce)}
 	if err := conn.send(challenge, handshakeTimeout); err != nil {
-		return "", 0, err
+		return c, err
 	}
 	var subscribe feedpb.Subscribe
 	if err := conn.receive(&subscribe, handshakeTimeout); err != nil {
-		return "", 0, err
+		return c, err
 	}
-	if !hmac.Equal(subscribe.Proof, prove(secret, roleClient, nonce, hello.Nonce)) {
-		return "", 0, ErrProof
+	c = client{host: hello.Host, revision: subscribe.Revision, proven: len(subscribe.Proof) > 0}
+	if c.proven && !hmac.Equal(subscribe.Proof, prove(secret, roleClient, nonce, hello.Nonce)) {
+		return c, ErrProof
 	}
-	return hello.Host, subscribe.Revision, nil
+	return c, nil
 }
 
 // feed answers each ping with news, and sends news at each change.
-func (s *Server) feed(ctx context.Context, conn *connection, revision uint64, pings <-chan ping) error {
+func (s *Server) feed(ctx context.Context, conn *connection, c client, pings <-chan ping) error {
 	// However the feed ends, the reader must not be left waiting.
 	defer func() {
 		conn.Close()
@@ -138,14 +148,14 @@
 	last, ok := <-pings
 	for ok {
 		changed := s.Source.Changed()
-		batch, err := s.Source.Since(ctx, revision)
+		batch, err := s.Source.Since(ctx, c.revision)
 		if err != nil {
 			return err
 		}
-		if err := conn.send(s.newsOf(&batch, last), writeTimeout); err != nil {
+		if err := conn.send(s.newsOf(&batch, last, c.proven), writeTimeout); err != nil {
 			return err
 		}
-		revision = max(revision, batch.Revision)
+		c.revision = max(c.revision, batch.Revision)
 		select {
 		case <-changed:
 		case last, ok = <-pings:
@@ -156,7 +166,7 @@
 	return nil
 }
 
-func (s *Server) newsOf(b *follow.Batch, last ping) *feedpb.News {
+func (s *Server) newsOf(b *follow.Batch, last ping, proven bool) *feedpb.News {
 	now := s.Awake()
 	news := &feedpb.News{
 		Complete:    b.Complete,
@@ -168,6 +178,9 @@
 	}
 	for i := range b.Changes {
 		c := &b.Changes[i]
+		if kind, _ := platform.Classify(c.Key); kind == platform.KindSecret && !proven {
+			continue
+		}
 		news.Changes = append(news.Changes, &feedpb.Change{
 			Key:      c.Key,
 			Value:    c.Value,
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -74,21 +74,36 @@
 	return now >= a.goneAt+restartTime
 }
 
-// Restarting returns the other hosts of the domain that routers may not use at
-// the moment because they have gone or come back just now.
-func (k *Keeper) Restarting(now time.Duration, name, domain string) []string {
-	var names []string
+// MayLeave reports whether the named host may leave the rotation: at least half
+// of its domain's hosts are then left in it. With fewer routers would use all of
+// them, also those that are down. Hosts that have gone or come back just now are
+// not counted as in rotation; others that may be down are not known here.
+func (k *Keeper) MayLeave(now time.Duration, name, domain string) (ok bool, restarting []string) {
+	all, ready := 0, 0
+	for other, h := range k.hosts {
+		if h.Domain == domain && other != name {
+			all++
+			ready++
+		}
+	}
 	for other, a := range k.absences {
 		if a.over(now) {
 			delete(k.absences, other)
 			continue
 		}
-		if a.domain == domain && other != name {
-			names = append(names, other)
+		if a.domain != domain || other == name {
+			continue
+		}
+		restarting = append(restarting, other)
+		if a.back {
+			ready--
+		} else {
+			all++
 		}
 	}
-	slices.Sort(names)
-	return names
+	slices.Sort(restarting)
+	// The leaving host itself counts as one of all.
+	return len(restarting) == 0 || 2*ready >= all+1, restarting
 }
 
 // Hosts returns the registered hosts by name.
--- a/internal/follow/keeper_test.go
+++ b/internal/follow/keeper_test.go
@@ -166,25 +166,41 @@
 	require.Equal(t, []string{"i-2"}, openIDs(k.View(back+lapseGrace)))
 }
 
-func TestRestartingHosts(t *testing.T) {
+// TestLeavingTheRotation: a host stays while too few others would be left.
+func TestLeavingTheRotation(t *testing.T) {
 	host := func(name, domain string, revision uint64) platform.Change {
 		return put(platform.HostKey(name), revision,
 			fmt.Sprintf(`{"name":%q,"domain":%q,"feed":"10.0.0.1:7000"}`, name, domain))
 	}
+	gone := func(name string, revision uint64) platform.Change { return removal(platform.HostKey(name), revision) }
+	may := func(k *Keeper, now time.Duration) bool {
+		ok, _ := k.MayLeave(now, "a", "d")
+		return ok
+	}
 	k := newTestKeeper()
-	k.Apply(0, Batch{Revision: 4, Changes: []platform.Change{host("a", "d", 1), host("b", "d", 2), host("c", "other", 3)}})
-	require.Empty(t, k.Restarting(0, "a", "d"))
-	k.Apply(time.Second, Batch{Revision: 6, Changes: []platform.Change{
-		removal(platform.HostKey("b"), 5), removal(platform.HostKey("c"), 6),
+	k.Apply(0, Batch{Revision: 5, Changes: []platform.Change{
+		host("a", "d", 1), host("b", "d", 2), host("c", "d", 3), host("x", "other", 4), host("y", "other", 5),
 	}})
-	require.Equal(t, []string{"b"}, k.Restarting(2*time.Second, "a", "d"))
-	require.Empty(t, k.Restarting(2*time.Second, "b", "d"), "a host does not wait for itself")
+	require.True(t, may(k, 0))
+	k.Apply(time.Second, Batch{Revision: 7, Changes: []platform.Change{gone("x", 6), gone("y", 7)}})
+	require.True(t, may(k, time.Second), "other domains do not count")
+	k.Apply(2*time.Second, Batch{Revision: 8, Changes: []platform.Change{gone("b", 8)}})
+	require.False(t, may(k, 2*time.Second), "one of three would be left")
 	back := 3 * time.Second
-	k.Apply(back, Batch{Revision: 7, Changes: []platform.Change{host("b", "d", 7)}})
-	require.Equal(t, []string{"b"}, k.Restarting(back, "a", "d"), "routers have not asked it yet")
-	require.Empty(t, k.Restarting(back+settleTime, "a", "d"))
-	k.Apply(back, Batch{Revision: 8, Changes: []platform.Change{removal(platform.HostKey("b"), 8)}})
-	require.Empty(t, k.Restarting(back+restartTime, "a", "d"), "it has left for good")
+	k.Apply(back, Batch{Revision: 9, Changes: []platform.Change{host("b", "d", 9)}})
+	require.False(t, may(k, back), "routers have not asked it yet")
+	require.True(t, may(k, back+settleTime))
+	k.Apply(back, Batch{Revision: 10, Changes: []platform.Change{gone("b", 10)}})
+	require.True(t, may(k, back+restartTime), "it has left for good")
+
+	large := newTestKeeper()
+	for i := range 12 {
+		large.Apply(0, Batch{Changes: []platform.Change{host(fmt.Sprintf("h%d", i), "d", uint64(i+1))}})
+	}
+	large.Apply(0, Batch{Changes: []platform.Change{gone("h1", 20), gone("h2", 21), gone("h3", 22)}})
+	ok, restarting := large.MayLeave(0, "h0", "d")
+	require.True(t, ok, "eight of twelve are left")
+	require.Equal(t, []string{"h1", "h2", "h3"}, restarting)
 }
 
 // TestFeedsFormNoCircle: whatever hosts are registered, following the first
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -133,10 +133,10 @@
 	return hosts
 }
 
-// restarting returns the other hosts of the domain that may be out of use.
-func (c *control) restarting(ctx context.Context, h follow.Host) (names []string) {
-	c.do(ctx, func() { names = c.keeper.Restarting(c.clock.Steady(), h.Name, h.Domain) })
-	return names
+// mayLeave reports whether the host may leave the rotation now.
+func (c *control) mayLeave(ctx context.Context, h follow.Host) (ok bool, restarting []string) {
+	c.do(ctx, func() { ok, restarting = c.keeper.MayLeave(c.clock.Steady(), h.Name, h.Domain) })
+	return ok, restarting
 }
 
 // revision returns the store's revision up to which the state is complete.
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -176,6 +176,7 @@
 func (d *Daemon) source() *source {
 	s := &source{
 		host:    d.announce.host,
+		seeds:   d.settings.Seeds,
 		clock:   d.clock,
 		control: d.control,
 		pace:    d.pace,
--- a/internal/relayd/source.go
+++ b/internal/relayd/source.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
+	"sync"
 	"time"
 
 	"toucangap/internal/event"
@@ -18,6 +20,7 @@
 // any other host's feed while the store can't be reached.
 type source struct {
 	host     follow.Host
+	seeds    []netip.AddrPort
 	clock    *clock
 	control  *control
 	follower *follow.Follower
@@ -30,6 +33,7 @@
 // run follows until the context ends.
 func (s *source) run(ctx context.Context) {
 	event.Log(s.logger, event.FollowingStore)
+	go s.bootstrap(ctx)
 	for ctx.Err() == nil {
 		if s.followPeers(ctx) {
 			continue
@@ -42,6 +46,56 @@
 	}
 }
 
+const (
+	// seedPatience is how long a host that starts waits for the store alone; it
+	// answers within some tens of milliseconds.
+	seedPatience = 200 * time.Millisecond
+	// seedTime bounds the news of a seed, seedInterval the rate of rounds.
+	seedTime     = time.Second
+	seedInterval = 500 * time.Millisecond
+)
+
+// bootstrap asks seeds for what they know until there is something to go on:
+// a host that starts behind a cut serves with the knowledge of its neighbours.
+func (s *source) bootstrap(ctx context.Context) {
+	sleep(ctx, seedPatience)
+	for ctx.Err() == nil && s.control.revision(ctx) == 0 {
+		var asked sync.WaitGroup
+		for _, address := range s.seeds {
+			if address != s.host.Feed {
+				asked.Go(func() { s.askSeed(ctx, address) })
+			}
+		}
+		asked.Wait()
+		sleep(ctx, seedInterval)
+	}
+}
+
+// askSeed takes the first news of a seed.
+func (s *source) askSeed(ctx context.Context, address netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, seedTime)
+	defer cancel()
+	seed := follow.Host{Name: address.String(), Feed: address}
+	client := feed.Client{
+		Host:     s.host.Name,
+		Interval: s.pace.Ping,
+		Silence:  s.pace.Silence,
+		MaxAge:   s.pace.MaxAge,
+		Awake:    s.clock.Awake,
+		Connected: func() {
+			event.Log(s.logger, event.FeedConnected, slog.String("host", seed.Name), slog.Bool("seed", true))
+		},
+		Take: func(b follow.Batch) {
+			// The rest of a seed's news comes by the usual ways.
+			defer cancel()
+			s.control.take(ctx, b)
+		},
+	}
+	err := client.Follow(ctx, seed)
+	event.Log(s.logger, event.FeedLost, slog.String("host", seed.Name), slog.Bool("seed", true),
+		slog.String("error", err.Error()), slog.Duration("view_age", s.control.age()))
+}
+
 // followPeers is fed by the best host that may, for as long as it can. It
 // reports whether there was one to try.
 func (s *source) followPeers(ctx context.Context) bool {
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -29,9 +29,8 @@
 )
 
 // Stop leaves the rotation, forwards packets until none come any more, and
-// returns; the caller then ends Run. While another host of the domain is
-// restarting it waits: with too few hosts in the rotation routers would use all
-// of them, also those that are down.
+// returns; the caller then ends Run. While too many other hosts of the domain are
+// restarting it waits.
 func (d *Daemon) Stop(ctx context.Context) {
 	begun := d.clock.Steady()
 	event.Log(d.logger, event.StopBegun, slog.Duration("at_most", d.settings.Bounds.Stop-stopMargin))
@@ -49,13 +48,13 @@
 	}
 }
 
-// awaitOthers waits until no other host of the domain is restarting, as long as
-// the time until SIGKILL allows.
+// awaitOthers waits until enough other hosts of the domain are in the rotation,
+// as long as the time until SIGKILL allows.
 func (d *Daemon) awaitOthers(ctx context.Context, begun time.Duration) {
 	logged := false
 	for ctx.Err() == nil && d.clock.Steady()-begun < d.settings.Bounds.Stop-leaveTime {
-		others := d.control.restarting(ctx, d.announce.host)
-		if len(others) == 0 {
+		ok, others := d.control.mayLeave(ctx, d.announce.host)
+		if ok {
 			return
 		}
 		if !logged {
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -31,6 +31,9 @@
 type Relay struct {
 	Name   string
 	Domain string
+	// Seeds are feed addresses of some hosts, which may be stale. A host that
+	// starts while it can't reach the store asks them.
+	Seeds  []netip.AddrPort
 	Listen RelayListen
 	Store  RelayStore
 	Bounds RelayBounds
@@ -106,6 +109,7 @@
 	s := &Relay{
 		Name:   root.Text("name"),
 		Domain: root.Text("domain"),
+		Seeds:  root.Addresses("seeds"),
 		Listen: readRelayListen(root.Table("listen"), root.Has("listen")),
 		Store:  readRelayStore(root.Table("store"), root.Has("store")),
 		Bounds: readRelayBounds(root.Table("bounds")),
--- a/standin/site/host.go
+++ b/standin/site/host.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -76,6 +77,7 @@
 func (h *Host) settingsText(packets, ready, feed, admin netip.AddrPort) []byte {
 	return fmt.Appendf(nil, `name = %q
 domain = %q
+seeds = [%s]
 [listen]
 packets = %q
 ready = %q
@@ -88,7 +90,17 @@
 configuration = %q
 drain = %q
 stop = %q
-`, h.Name, domain(h.domain), packets, ready, feed, admin, h.Store.From, heartbeat, ConfigBound, DrainBound, StopBound)
+`, h.Name, domain(h.domain), h.site.seeds(), packets, ready, feed, admin, h.Store.From, heartbeat, ConfigBound, DrainBound, StopBound)
+}
+
+// seeds are the feed addresses of the first host of each domain.
+func (s *Site) seeds() string {
+	var list []string
+	for d := range s.Options.Domains {
+		address := netip.AddrFrom4([4]byte{127, 2, byte(d), byte(d*s.Options.Hosts + 1)})
+		list = append(list, fmt.Sprintf("%q", netip.AddrPortFrom(address, uint16(s.Options.Port)+2)))
+	}
+	return strings.Join(list, ", ")
 }
 
 // start runs the daemon; when it ends it is started again after a moment.
