Prefer a suspect endpoint to a long queue

Change: a suspect is chosen where it is expected to be faster by 60 ms, and suspicion lasts for 1 s at most. Test: TestSuspectsRelieveAQueue failed before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -36,7 +36,11 @@
 	// one caller some milliseconds, since its packet is sent on, and a dead
 	// endpoint should be known before those who wait for it give up.
 	firstSuspicion   = 30 * time.Millisecond
-	longestSuspicion = 2 * time.Second
+	longestSuspicion = time.Second
+	// suspectCost is what a suspect endpoint has to be faster by to be preferred
+	// to the others: several waits for a reaction. When a cut has made nearly all
+	// endpoints suspect, the few others must not drown while these are back.
+	suspectCost = 60 * time.Millisecond
 	// deadAfter is the number of flows in a row whose first packets an endpoint
 	// has to leave unanswered to be held for dead, and deadSpan the least time
 	// between the first and the last of them: what is lost when routers move
@@ -232,7 +236,7 @@
 			best, rank = c, score
 		}
 	}
-	if best.Endpoint == nil {
+	if best.Endpoint == nil || spare.Endpoint != nil && spare.Cost+suspectCost < best.Cost {
 		spare.Candidates, spare.Suspects = best.Candidates, best.Suspects
 		best = spare
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -165,6 +165,22 @@
 	require.Nil(t, Choose(Request{Tried: all}, &s, all).Endpoint)
 }
 
+// TestSuspectsRelieveAQueue plays the end of a cut: all endpoints but one are
+// suspect, and that one must not take everything.
+func TestSuspectsRelieveAQueue(t *testing.T) {
+	all := endpoints(10, "here")
+	var s Service
+	teach(&s, all, 20*ms)
+	for _, e := range all[1:] {
+		e.Silent(0, 0)
+	}
+	for range 40 {
+		Choose(request(ms, 7), &s, all).Endpoint.Busy++
+	}
+	require.Less(t, all[0].Busy, 10)
+	require.Greater(t, all[0].Busy, 2)
+}
+
 // TestDeath: several silent flows over some time, while a later one is accepted
 // elsewhere.
 func TestDeath(t *testing.T) {
