Count silence only when the caller was there to react

Change: an endpoint is held for dead when it left three flows over 40 ms to endpoints that then got the caller's reaction; an endpoint that answers late shows by the token that the caller returns, and counts as alive.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -41,10 +41,9 @@
 	// to the others: several waits for a reaction. When a cut has made nearly all
 	// endpoints suspect, the few others must not drown while these are back.
 	suspectCost = 60 * time.Millisecond
-	// deadAfter is the number of flows in a row whose first packets an endpoint
-	// has to leave unanswered to be held for dead, and deadSpan the least time
-	// between the first and the last of them: what is lost when routers move
-	// callers to another host is lost at one moment.
+	// deadAfter is the number of flows in a row that an endpoint has to leave to
+	// others to be held for dead, and deadSpan the least time between the first
+	// and the last of them: what the network loses is often lost at one moment.
 	deadAfter = 3
 	deadSpan  = 40 * time.Millisecond
 )
@@ -59,10 +58,11 @@
 
 	// unanswered counts first packets without a reaction since the last one.
 	unanswered int
-	// firstSilent and lastSilent are when the first and the last of them were
-	// sent.
-	firstSilent  time.Duration
-	lastSilent   time.Duration
+	// left counts those whose callers then reacted to another endpoint, and
+	// firstLeft and lastLeft are when the first and the last were sent here.
+	left         int
+	firstLeft    time.Duration
+	lastLeft     time.Duration
 	suspectUntil time.Duration
 	trial        bool
 	lastLife     time.Duration
@@ -72,8 +72,6 @@
 // Service gathers what endpoints of one service have in common.
 type Service struct {
 	answer average
-	// lastAccepted is the latest sending of a first packet that was accepted.
-	lastAccepted time.Duration
 }
 
 // Suspect reports whether the endpoint is passed over for now.
@@ -103,16 +101,12 @@
 // that works can have caused.
 func (e *Endpoint) Alive(now time.Duration) (recovered bool) {
 	recovered = e.unanswered > 0
-	e.unanswered = 0
+	e.unanswered, e.left = 0, 0
 	e.trial = false
 	e.lastLife = now
 	return recovered
 }
 
-// Accepted takes note that an endpoint of the service accepted a flow whose
-// first packet was sent at the given time.
-func (s *Service) Accepted(sent time.Duration) { s.lastAccepted = max(s.lastAccepted, sent) }
-
 // Answered takes the time from a request to the first bytes of its answer.
 func (e *Endpoint) Answered(now, took time.Duration, s *Service) {
 	e.answer.add(now, float64(took), endpointShare)
@@ -126,29 +120,38 @@
 		// The endpoint reacted to others since; this packet was lost.
 		return
 	}
-	if e.unanswered == 0 {
-		e.firstSilent = sent
-	}
 	e.unanswered++
-	e.lastSilent = max(e.lastSilent, sent)
 	e.trial = false
 	pause := min(firstSuspicion<<min(e.unanswered-1, 8), longestSuspicion)
 	e.suspectUntil = now + pause
 }
 
-// Dead reports whether the endpoint is held for dead: several flows over some
-// time got no reaction, while a flow that began later was accepted by another
-// endpoint. Without the latter the host itself may be out of reach of callers.
-func (e *Endpoint) Dead(s *Service) bool {
-	return e.unanswered >= deadAfter &&
-		e.lastSilent-e.firstSilent >= deadSpan &&
-		s.lastAccepted > e.lastSilent
+// Left takes note of a flow whose first packet, sent here at the given time, had
+// no reaction until another endpoint accepted the flow. Only then is it certain
+// that the caller was there to react. It reports whether the endpoint is held
+// for dead now.
+func (e *Endpoint) Left(sent time.Duration) (dead bool) {
+	if sent < e.lastLife || e.unanswered == 0 {
+		return false
+	}
+	if e.left == 0 {
+		e.firstLeft, e.lastLeft = sent, sent
+	}
+	e.left++
+	e.firstLeft, e.lastLeft = min(e.firstLeft, sent), max(e.lastLeft, sent)
+	return e.Dead()
+}
+
+// Dead reports whether the endpoint is held for dead: it left several flows to
+// others over some time and gave no sign of life in between.
+func (e *Endpoint) Dead() bool {
+	return e.left >= deadAfter && e.lastLeft-e.firstLeft >= deadSpan
 }
 
 // Forgive drops all suspicion, after a time in which the host itself could not
 // have heard anything.
 func (e *Endpoint) Forgive() {
-	e.unanswered = 0
+	e.unanswered, e.left = 0, 0
 	e.trial = false
 }
 
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -104,7 +104,7 @@
 
 // try forwards the first packet to an endpoint.
 func (r *Relay) try(now time.Duration, f *flow, e *balance.Endpoint, frame []byte) {
-	f.tried[f.tries] = e
+	f.tried[f.tries], f.triedAt[f.tries] = e, now
 	f.tries++
 	f.attach(e)
 	f.sentAt = now
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -39,6 +39,7 @@
 	// endpoint holds the flow, or is the one tried last.
 	endpoint *balance.Endpoint
 	tried    [maxTries]*balance.Endpoint
+	triedAt  [maxTries]time.Duration
 	tries    int
 	// judged is the number of tries whose endpoints were found silent.
 	judged int
--- a/internal/relay/later.go
+++ b/internal/relay/later.go
@@ -27,6 +27,7 @@
 	if s.Token != 0 && s.Token != f.endpoint.Entry.Token() && !r.options.Without.Pinning {
 		// A second endpoint that answered the first packet changed what the caller
 		// returns; the one whose answer came first holds the flow.
+		r.contested(now, s)
 		r.stats.Contested++
 		r.options.Observer.Contested(now, f.key, f.endpoint.Entry, s.Token)
 	}
@@ -44,6 +45,14 @@
 	}
 }
 
+// contested takes what a packet shows that names another endpoint than the one
+// that holds its flow: that one has answered the first packet, too, late.
+func (r *Relay) contested(now time.Duration, s segment.Segment) {
+	if late := r.endpoints[s.Token]; late != nil && late.Alive(now) {
+		r.options.Observer.Recovered(now, late)
+	}
+}
+
 // adopt enters a flow that another host placed, or returns nil if the packet
 // leads nowhere.
 func (r *Relay) adopt(now time.Duration, s segment.Segment) *flow {
@@ -108,8 +117,20 @@
 		r.options.Observer.Accepted(took)
 	}
 	r.alive(now, f)
-	f.service.seen.Accepted(f.sentAt)
-	r.bury(now, f.service)
+	r.bury(now, f)
+}
+
+// bury takes note of the endpoints that left the flow to its holder, and ends
+// the flows that wait for one that is held for dead now.
+func (r *Relay) bury(now time.Duration, f *flow) {
+	if r.options.Without.Death {
+		return
+	}
+	for i, e := range f.tried[:min(f.judged, f.tries)] {
+		if e != f.endpoint && e.Left(f.triedAt[i]) {
+			r.endFlowsOf(now, e)
+		}
+	}
 }
 
 // alive takes a sign of life of the flow's endpoint.
@@ -161,7 +182,7 @@
 // that answers in progress arrive whole.
 func (r *Relay) doomed(now time.Duration, f *flow, progress bool) bool {
 	switch {
-	case !progress && !r.options.Without.Death && f.endpoint.Dead(&f.service.seen):
+	case !progress && !r.options.Without.Death && f.endpoint.Dead():
 		r.endDead(now, f)
 		return true
 	case r.view.Route(f.key.Service) == nil:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,8 +79,6 @@
 	name       string
 	seen       balance.Service
 	candidates []*balance.Endpoint
-	// silent tells that endpoints may have left first packets unanswered.
-	silent bool
 }
 
 // New returns a relay that starts at the given time without a view.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -607,3 +607,23 @@
 		}
 	})
 }
+
+// TestLateAcceptance: an endpoint whose acceptance comes after that of another
+// shows by the token that the caller then returns; it is not held for dead.
+func TestLateAcceptance(t *testing.T) {
+	r := newRig(t, 2)
+	late := r.place(1)
+	r.wait(firstPatience)
+	sent, _ := r.take()
+	holder := sent[0]
+	r.ack(1, holder, 1, 10)
+	require.Equal(t, 1, r.unanswered(late))
+	r.ack(1, late, 1, 10)
+	require.Zero(t, r.unanswered(late))
+	sent, _ = r.take()
+	require.Equal(t, []string{holder, holder}, sent)
+}
+
+func (r *rig) unanswered(id string) int {
+	return r.relay.endpoints[catalog.TokenOf(id)].Unanswered()
+}
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -53,7 +53,6 @@
 	}
 	f.endpoint.Silent(now, f.sentAt)
 	r.options.Observer.Suspected(now, f.key, f.endpoint, now-f.sentAt)
-	f.service.silent = true
 	f.judged = f.tries
 	r.schedule(f, now+r.patience.wait())
 	if f.firstLength > 0 && f.tries < maxTries {
@@ -61,24 +60,6 @@
 	}
 }
 
-// bury looks for endpoints of a service that are to be held for dead now, and
-// resets the flows that wait for them.
-func (r *Relay) bury(now time.Duration, sv *service) {
-	if !sv.silent || r.options.Without.Death {
-		return
-	}
-	sv.silent = false
-	for _, e := range r.endpoints {
-		if e.Entry.Service != sv.name || e.Unanswered() == 0 {
-			continue
-		}
-		sv.silent = true
-		if e.Dead(&sv.seen) {
-			r.endFlowsOf(now, e)
-		}
-	}
-}
-
 // endFlowsOf resets the flows that wait for an endpoint held for dead.
 func (r *Relay) endFlowsOf(now time.Duration, e *balance.Endpoint) {
 	if e.Busy == 0 {
