Reset only flows that were here when their endpoint fell silent

Ruled out: a wrong verdict on the endpoint (it had been silent before). Change: a flow is reset only if its endpoint has left another flow to others after the last sign of life on this one, or after the host first saw it. Test: TestFlowOfAReturnedEndpoint failed before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -148,6 +148,13 @@
 	return e.left >= deadAfter && e.lastLeft-e.firstLeft >= deadSpan
 }
 
+// DeadSince reports whether the endpoint is held for dead, and has left a flow to
+// others that began after the given time. It may have come back since: nothing
+// is known of flows that were opened later.
+func (e *Endpoint) DeadSince(alive time.Duration) bool {
+	return e.Dead() && e.lastLeft > alive
+}
+
 // Forgive drops all suspicion, after a time in which the host itself could not
 // have heard anything.
 func (e *Endpoint) Forgive() {
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -51,6 +51,9 @@
 	begun    time.Duration
 	sentAt   time.Duration
 	lastSeen time.Duration
+	// progressAt is when the endpoint last gave a sign of life on this flow, or
+	// when the host first saw the flow.
+	progressAt time.Duration
 	endedAt  time.Duration
 	// sequence is that of the first packet.
 	sequence uint32
@@ -141,7 +144,7 @@
 		f = new(flow)
 	}
 	f.key = key
-	f.begun, f.lastSeen = now, now
+	f.begun, f.lastSeen, f.progressAt = now, now, now
 	r.flows[key] = f
 	return f
 }
--- a/internal/relay/later.go
+++ b/internal/relay/later.go
@@ -135,6 +135,7 @@
 
 // alive takes a sign of life of the flow's endpoint.
 func (r *Relay) alive(now time.Duration, f *flow) {
+	f.progressAt = now
 	if f.endpoint.Alive(now) {
 		r.options.Observer.Recovered(now, f.endpoint)
 	}
@@ -182,7 +183,7 @@
 // that answers in progress arrive whole.
 func (r *Relay) doomed(now time.Duration, f *flow, progress bool) bool {
 	switch {
-	case !progress && !r.options.Without.Death && f.endpoint.Dead():
+	case !progress && !r.options.Without.Death && f.endpoint.DeadSince(f.progressAt):
 		r.endDead(now, f)
 		return true
 	case r.view.Route(f.key.Service) == nil:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -418,6 +418,30 @@
 	require.False(t, r.relay.flows[flowOf(1)].waiting)
 }
 
+// TestFlowOfAReturnedEndpoint: an endpoint that was held for dead may have come
+// back; a flow that another host opened there since is forwarded.
+func TestFlowOfAReturnedEndpoint(t *testing.T) {
+	r := newRig(t, 2)
+	e := r.relay.endpoints[catalog.TokenOf("i-1")]
+	for i := range 5 {
+		sent := r.now + time.Duration(i)*50*ms
+		e.Silent(sent+10*ms, sent)
+		e.Left(sent)
+	}
+	require.True(t, e.Dead())
+	r.now += time.Second
+	r.ack(1, "i-1", 1, 10)
+	r.ack(1, "i-1", 1, 10)
+	sent, _ := r.take()
+	require.Equal(t, []string{"i-1", "i-1"}, sent)
+	e.Silent(r.now+50*ms, r.now+40*ms)
+	e.Left(r.now + 40*ms)
+	r.now += 200 * ms
+	r.ack(1, "i-1", 1, 10)
+	sent, _ = r.take()
+	require.Equal(t, []string{"reset"}, sent, "it has left another flow since")
+}
+
 // TestLivingEndpointIsNeverCut: however many reactions to first packets are
 // lost, an endpoint keeps its open flow while that goes on between them.
 func TestLivingEndpointIsNeverCut(t *testing.T) {
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -66,7 +66,7 @@
 		return
 	}
 	for _, f := range r.flows {
-		if f.endpoint == e && f.state == stateOpen && f.waiting {
+		if f.endpoint == e && f.state == stateOpen && f.waiting && e.DeadSince(f.progressAt) {
 			r.endDead(now, f)
 		}
 	}
