--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -54,7 +54,7 @@
 	// progressAt is when the endpoint last gave a sign of life on this flow, or
 	// when the host first saw the flow.
 	progressAt time.Duration
-	endedAt  time.Duration
+	endedAt    time.Duration
 	// sequence is that of the first packet.
 	sequence uint32
 	// acknowledged and sent are the caller's highest acknowledgement and the end
