Count an answer that never came as a slow one

Ruled out: an active check, which such endpoints pass. The emulator's baselines move into package emu; tg-experiment plays them.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -79,8 +79,8 @@
 	return e.unanswered > 0 && (now < e.suspectUntil || e.trial)
 }
 
-// Unanswered returns the number of flows in a row that got no reaction.
-func (e *Endpoint) Unanswered() int { return e.unanswered }
+// SilentFlows returns the number of flows in a row that got no reaction.
+func (e *Endpoint) SilentFlows() int { return e.unanswered }
 
 // Slowness returns the ratio of the endpoint's time to answer to that of its
 // service, at least 1.
@@ -113,6 +113,13 @@
 	s.answer.add(now, float64(took), serviceShare)
 }
 
+// Unanswered takes note of a request that had no answer until its caller gave
+// up. It counts as an answer of that time: an endpoint that accepts flows and
+// leaves some of their requests undone is passed over like a slow one.
+func (e *Endpoint) Unanswered(now, waited time.Duration) {
+	e.answer.add(now, float64(waited), endpointShare)
+}
+
 // Silent takes note of a first packet, sent at the given time, that has had no
 // reaction.
 func (e *Endpoint) Silent(now, sent time.Duration) {
--- a/internal/relay/dump.go
+++ b/internal/relay/dump.go
@@ -89,7 +89,7 @@
 			Listed:     e.Entry.Listed,
 			Draining:   e.Entry.Draining,
 			Suspect:    e.Suspect(now),
-			Unanswered: e.Unanswered(),
+			Unanswered: e.SilentFlows(),
 			Open:       e.Open,
 			Busy:       e.Busy,
 			Slowness:   e.Slowness(now, &r.service(e.Entry.Service).seen),
--- a/internal/relay/later.go
+++ b/internal/relay/later.go
@@ -213,14 +213,14 @@
 
 // finish ends a flow that its caller has closed.
 func (r *Relay) finish(now time.Duration, f *flow, s segment.Segment) {
-	if f.waiting {
-		r.stats.Unanswered++
-	}
 	cause := "fin"
 	if s.Reset {
 		cause = "reset"
 	}
 	r.options.Observer.Ended(now, r.ending(now, f, cause))
+	if f.waiting && now-f.requestAt > f.target {
+		r.abandoned(now, f)
+	}
 	f.end(now)
 	r.schedule(f, now+endedFor)
 }
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -72,12 +72,18 @@
 	}
 }
 
+// abandoned takes note that a caller has given up waiting for an answer.
+func (r *Relay) abandoned(now time.Duration, f *flow) {
+	r.stats.Unanswered++
+	f.endpoint.Unanswered(now, now-f.requestAt)
+	f.setWaiting(false)
+}
+
 // review looks at an open flow after its last due time.
 func (r *Relay) review(now time.Duration, f *flow) {
 	if f.waiting && now >= f.requestAt+f.timeout {
 		// The caller has given up; the endpoint's slot may well be free.
-		r.stats.Unanswered++
-		f.setWaiting(false)
+		r.abandoned(now, f)
 	}
 	idleAt := f.lastSeen + r.idle()
 	if now >= idleAt || now >= f.begun+r.options.FlowLifetime {
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -163,7 +163,7 @@
 	if o.allows(now, o.noteworthy) {
 		event.Log(o.logger, event.EndpointSuspected, slog.String("endpoint", e.Entry.ID),
 			slog.String("flow", f.String()), slog.Duration("waited", waited),
-			slog.Int("unanswered", e.Unanswered()))
+			slog.Int("unanswered", e.SilentFlows()))
 	}
 }
 
--- /dev/null
+++ b/standin/binaries/tg-experiment/main.go
@@ -0,0 +1,51 @@
+// Command tg-experiment plays rules of placement, suspicion and admission against
+// a table of loads in the emulator and writes figures and a plot.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"toucangap/standin/experiment"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "tg-experiment",
+		Usage: "play rules of placement against loads in the emulator",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the plays"},
+			&cli.StringFlag{Name: "out", Usage: "write the table and a plot to `DIR`"},
+		},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "tg-experiment:", err)
+		os.Exit(1)
+	}
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	cells := experiment.Play(c.Uint64("seed"))
+	if err := experiment.Table(os.Stdout, cells); err != nil {
+		return err
+	}
+	dir := c.String("out")
+	if dir == "" {
+		return nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	file, err := os.Create(filepath.Join(dir, "experiment.txt"))
+	if err != nil {
+		return err
+	}
+	return errors.Join(experiment.Table(file, cells), file.Close(),
+		experiment.Plot(filepath.Join(dir, "experiment.svg"), cells))
+}
--- /dev/null
+++ b/standin/emu/baseline.go
@@ -0,0 +1,24 @@
+package emu
+
+import "toucangap/internal/balance"
+
+// LeastOpen picks the endpoint with the fewest flows of this host, without regard
+// to domains, slots, speed and suspicion.
+func LeastOpen(r balance.Request, _ *balance.Service, all []*balance.Endpoint) (best balance.Choice) {
+	for i := range all {
+		e := all[(i+int(r.Hash%uint64(len(all))))%len(all)]
+		if len(r.Tried) > 0 && r.Tried[len(r.Tried)-1] == e {
+			continue
+		}
+		if best.Endpoint == nil || e.Open < best.Endpoint.Open {
+			best.Endpoint = e
+		}
+	}
+	return best
+}
+
+// Random picks by the flow's hash alone.
+func Random(r balance.Request, _ *balance.Service, all []*balance.Endpoint) (c balance.Choice) {
+	c.Endpoint = all[(r.Hash+uint64(len(r.Tried)))%uint64(len(all))]
+	return c
+}
--- /dev/null
+++ b/standin/experiment/experiment.go
@@ -0,0 +1,158 @@
+// Package experiment plays rules of placement, suspicion and admission against a
+// table of loads in the emulator, so that a rule is chosen by measurement.
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucangap/internal/relay"
+	"toucangap/standin/emu"
+)
+
+// Rule is a variant of the decisions.
+type Rule struct {
+	Name    string
+	Options relay.Options
+}
+
+// Rules are the present rules, each without one part, and two baselines.
+func Rules() []Rule {
+	return []Rule{
+		{"present", relay.Options{}},
+		{"no sending on", relay.Options{Without: relay.Parts{SendingOn: true}}},
+		{"no death", relay.Options{Without: relay.Parts{Death: true}}},
+		{"no admission", relay.Options{Without: relay.Parts{Admission: true}}},
+		{"least open", relay.Options{Choose: emu.LeastOpen}},
+		{"random", relay.Options{Choose: emu.Random}},
+	}
+}
+
+// Load is a load with faults.
+type Load struct {
+	Name  string
+	Scene func(w *emu.World)
+}
+
+// Loads are the loads that the rules have to answer.
+func Loads() []Load {
+	crash := func(span, lapse time.Duration) func(w *emu.World) {
+		return func(w *emu.World) {
+			for i := range 14 {
+				w.At(time.Duration(i+1)*300*time.Millisecond, func() { w.Endpoints("alerts")[i].Crash(lapse, span) })
+			}
+		}
+	}
+	return []Load{
+		{"calm", func(*emu.World) {}},
+		{"crowd x3", func(w *emu.World) {
+			w.At(time.Second, func() { w.Rate(3) })
+			w.At(3*time.Second, func() { w.Rate(1) })
+		}},
+		{"dark endpoints", crash(1500*time.Millisecond, 3600*time.Millisecond)},
+		{"flapping", func(w *emu.World) {
+			for i := range 20 {
+				w.At(time.Duration(i)*250*time.Millisecond, func() {
+					w.Endpoints("alerts")[i%3].Crash(3600*time.Millisecond, 200*time.Millisecond)
+				})
+			}
+		}},
+		{"three slow x5", func(w *emu.World) {
+			w.At(time.Second, func() {
+				for _, e := range w.Endpoints("alerts")[:3] {
+					e.Slow = 5
+				}
+			})
+		}},
+		{"two grey", func(w *emu.World) {
+			for _, e := range w.Endpoints("alerts")[:2] {
+				e.Fails = 64
+			}
+		}},
+		{"hosts replaced", func(w *emu.World) {
+			for i, h := range w.Hosts() {
+				w.At(time.Duration(i+1)*1200*time.Millisecond, func() { h.Kill(400 * time.Millisecond) })
+			}
+		}},
+	}
+}
+
+// Cell is one rule under one load.
+type Cell struct {
+	Load, Rule string
+	Total      emu.Counts
+	P99        time.Duration
+	Violations string
+}
+
+// span is the length of a load's play.
+const span = 6 * time.Second
+
+// Play plays all rules under all loads with the seed.
+func Play(seed uint64) []Cell {
+	var cells []Cell
+	for _, load := range Loads() {
+		for _, rule := range Rules() {
+			c := emu.Default(seed)
+			c.Options = rule.Options
+			w := emu.New(c)
+			load.Scene(w)
+			r := w.Run(span)
+			cells = append(cells, Cell{load.Name, rule.Name, r.Total(), r.Quantile(0.99), r.Violations()})
+		}
+	}
+	return cells
+}
+
+// Table writes the cells as a table.
+func Table(w io.Writer, cells []Cell) error {
+	_, err := fmt.Fprintf(w, "%-16s %-14s %8s %8s %6s %6s %8s %9s  %s\n",
+		"load", "rule", "worth", "in time", "late", "failed", "asked", "p99", "violations")
+	for _, c := range cells {
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(w, "%-16s %-14s %8.4f %8d %6d %6d %8d %9s  %s\n", c.Load, c.Rule, c.Total.Share(),
+			c.Total.InTarget, c.Total.Late, c.Total.Failed, c.Total.Asked, c.P99.Round(100*time.Microsecond), c.Violations)
+	}
+	return err
+}
+
+// Plot draws the share of worth that is lost, by load and rule, into an SVG file.
+func Plot(path string, cells []Cell) error {
+	p := plot.New()
+	p.Title.Text = "share of worth lost"
+	loads := Loads()
+	names := make([]string, len(loads))
+	for i, l := range loads {
+		names[i] = l.Name
+	}
+	p.NominalX(names...)
+	for i, rule := range Rules() {
+		values := make(plotter.Values, len(loads))
+		for j, l := range loads {
+			for _, c := range cells {
+				if c.Load == l.Name && c.Rule == rule.Name {
+					values[j] = 1 - c.Total.Share()
+				}
+			}
+		}
+		bars, err := plotter.NewBarChart(values, vg.Points(6))
+		if err != nil {
+			return merry.Prepend(err, "plot")
+		}
+		bars.Offset = vg.Points(float64(i-len(Rules())/2) * 6)
+		bars.Color = shades[i%len(shades)]
+		p.Add(bars)
+		p.Legend.Add(rule.Name, bars)
+	}
+	p.Legend.Top = true
+	return merry.Prepend(p.Save(26*vg.Centimeter, 10*vg.Centimeter, path), "plot")
+}
