--- /dev/null
+++ b/internal/relayd/relayd_test.go
@@ -0,0 +1,36 @@
+package relayd
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLimiterBoundsLines: whatever comes, no more than the burst and the rate
+// pass, and the rest is counted.
+func TestLimiterBoundsLines(t *testing.T) {
+	l := newLimiter(100, 50)
+	passed := 0
+	for i := range 10_000 {
+		if l.allow(time.Duration(i) * time.Millisecond) {
+			passed++
+		}
+	}
+	require.InDelta(t, 50+100*10, passed, 2)
+	require.Equal(t, int64(10_000-passed), l.takeLeftOut())
+	require.Zero(t, l.takeLeftOut())
+}
+
+// TestAwakeClockRuns: both clocks start together and only go forward.
+func TestAwakeClockRuns(t *testing.T) {
+	c := newClock()
+	steady, awake := c.Steady(), c.Awake()
+	require.GreaterOrEqual(t, awake, time.Duration(0))
+	for range 1000 {
+		s, a := c.Steady(), c.Awake()
+		require.GreaterOrEqual(t, s, steady)
+		require.GreaterOrEqual(t, a, awake)
+		steady, awake = s, a
+	}
+}
--- /dev/null
+++ b/internal/settings/relay_test.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const relayText = `name = "host-1"
+domain = "port-louis"
+seeds = ["10.1.0.10:8166"]
+[listen]
+packets = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+feed = "10.1.0.10:8166"
+admin = "10.1.0.10:7735"
+[store]
+address = "10.200.1.7:8169"
+[bounds]
+heartbeat = "1200ms"
+flow_lifetime = "60s"
+[limits]
+memory_mb = 544
+`
+
+func TestRelaySettings(t *testing.T) {
+	s, findings := ParseRelay("host.toml", []byte(relayText))
+	require.Empty(t, findings)
+	require.Equal(t, "port-louis", s.Domain)
+	require.Equal(t, 1200*time.Millisecond, s.Bounds.Heartbeat)
+	require.Equal(t, defaultDrain, s.Bounds.Drain)
+	require.Equal(t, int64(544)<<20, s.MemoryBytes)
+	require.Len(t, s.Seeds, 1)
+}
+
+// TestRelayMistakesComeTogether: each with its line and what is allowed.
+func TestRelayMistakesComeTogether(t *testing.T) {
+	_, findings := ParseRelay("host.toml", []byte(`name = ""
+[listen]
+packets = "10.1.0.10"
+ready = "10.1.0.10:8166"
+feed = "10.1.0.10:8166"
+admin = "10.1.0.10:7735"
+[store]
+address = "10.200.1.7:8169"
+colour = "green"
+[bounds]
+drain = "0s"
+`))
+	var got []string
+	for _, f := range findings {
+		got = append(got, f.String())
+	}
+	require.Equal(t, []string{
+		"host.toml:0: domain: required key is missing (allowed: set domain)",
+		"host.toml:1: name: is empty (allowed: a name)",
+		`host.toml:3: listen.packets: "10.1.0.10" is not an address with port (allowed: an address with port, such as "192.0.2.1:5683" or "[2001:db8::1]:5683")`,
+		"host.toml:5: listen.feed: tcp 10.1.0.10:8166 is taken by listen.ready (allowed: an address of its own)",
+		"host.toml:9: store.colour: unknown key (allowed: address, history, shortest_lease)",
+		"host.toml:11: bounds.drain: 0s is not positive (allowed: a duration above 0)",
+	}, got)
+}
--- a/standin/site/caller.go
+++ b/standin/site/caller.go
@@ -182,3 +182,19 @@
 		}
 	}
 }
+
+// AnyOpenFlow returns a flow that an endpoint holds and whose caller waits.
+func (s *Site) AnyOpenFlow() (flow catalog.Flow, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.callers {
+		for f, t := range c.flows {
+			for _, e := range s.endpoints {
+				if t.Outcome() == ends.Pending && e.Holds(f) {
+					return f, true
+				}
+			}
+		}
+	}
+	return catalog.Flow{}, false
+}
--- /dev/null
+++ b/standin/soak/soak_test.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangap/internal/catalog"
+	"toucangap/platform"
+	"toucangap/standin/site"
+)
+
+// daemon is the program under test, built once.
+var daemon string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "toucangap-soak-test.")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	daemon = filepath.Join(dir, "toucangapd")
+	build := exec.Command("go", "build", "-o", daemon, "toucangap/binaries/toucangapd")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// newSite starts a small site; the port keeps tests apart.
+func newSite(t *testing.T, port int) (*site.Site, *watch) {
+	s, err := site.New(site.Options{
+		Daemon: daemon, Dir: t.TempDir(), Port: port, Seed: 1, Domains: 1, Hosts: 1, Endpoints: 3, Rate: 50,
+	})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	require.True(t, waitReady(t.Context(), s))
+	return s, &watch{site: s, versions: make(map[string]seen), told: make(map[string]bool)}
+}
+
+func requireViolation(t *testing.T, s *site.Site, text string) {
+	found := ""
+	s.Locked(func() { found = strings.Join(s.Result.Violations, "\n") })
+	require.Contains(t, found, text)
+}
+
+// TestCalmSitePasses: without faults no check fails.
+func TestCalmSitePasses(t *testing.T) {
+	report, err := Play(t.Context(), Options{Daemon: daemon, Port: 18400, Domains: 2, Hosts: 1, Rate: 50}, Schedule{Seed: 1})
+	require.NoError(t, err)
+	require.Empty(t, report.Violations)
+	require.Positive(t, report.Total.Answered)
+	require.Zero(t, report.Total.Failed)
+}
+
+// TestNotRecovered: a host that stands still at the end is noticed.
+func TestNotRecovered(t *testing.T) {
+	s, w := newSite(t, 18410)
+	s.Load(true)
+	s.Hosts()[0].Pause(time.Minute)
+	w.until(t.Context(), time.Now().Add(6*time.Second))
+	w.served()
+	requireViolation(t, s, "not recovered")
+	s.Load(false)
+	w.leftOver()
+	requireViolation(t, s, "does not answer")
+}
+
+// TestHostEndsByItself: an end that the soak did not cause is noticed.
+func TestHostEndsByItself(t *testing.T) {
+	s, w := newSite(t, 18420)
+	h := s.Hosts()[0]
+	require.NoError(t, syscall.Kill(h.PID(), syscall.SIGKILL))
+	require.Eventually(t, func() bool { return h.Failures() > 0 }, 10*time.Second, 10*time.Millisecond)
+	w.usage()
+	requireViolation(t, s, "ended by itself")
+}
+
+// TestLedgerChecks: what endpoints must not see is noticed.
+func TestLedgerChecks(t *testing.T) {
+	s, _ := newSite(t, 18430)
+	s.Endpoints(func(e *site.Endpoint) {
+		e.Ledger.Twice = append(e.Ledger.Twice, 1)
+		e.Ledger.Foreign = append(e.Ledger.Foreign, 1)
+		e.Ledger.LateOpenings = 1
+		e.Receive(0, 0, make([]byte, 40))
+	})
+	s.Finish()
+	for _, text := range []string{"ran twice", "another service", "did not write", "too late"} {
+		requireViolation(t, s, text)
+	}
+}
+
+// TestResetAtLivingEndpoint: a reset of an open flow in a host's name is
+// noticed.
+func TestResetAtLivingEndpoint(t *testing.T) {
+	s, _ := newSite(t, 18440)
+	s.Endpoints(func(e *site.Endpoint) { e.SlowDown(100) })
+	s.Load(true)
+	var flow catalog.Flow
+	require.Eventually(t, func() bool {
+		found, ok := s.AnyOpenFlow()
+		flow = found
+		return ok
+	}, 10*time.Second, 5*time.Millisecond)
+	conn, err := net.Dial("udp4", net.JoinHostPort(flow.Caller.AddrPort().Addr().String(), "18440"))
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write(platform.AppendReset(nil, flow, 0))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		n := 0
+		s.Locked(func() { n = len(s.Result.Violations) })
+		return n > 0
+	}, 10*time.Second, 5*time.Millisecond)
+	requireViolation(t, s, "open flow reset at a living endpoint")
+}
+
+// TestSchedulesRepeat: a seed makes one schedule.
+func TestSchedulesRepeat(t *testing.T) {
+	require.Equal(t, NewSchedule(7, time.Second), NewSchedule(7, time.Second))
+	require.NotEqual(t, NewSchedule(7, time.Second), NewSchedule(8, time.Second))
+}
