Remove what nothing uses, and report failed renewals

The lease of a registration is at least the shortest that the store grants; a renewal that fails is logged.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -54,7 +54,7 @@
 	// The reader notices when the connection is lost.
 	go c.pings(conn)
 	for ctx.Err() == nil {
-		if err := c.news(conn, peer.Name); err != nil {
+		if err := c.news(conn); err != nil {
 			return err
 		}
 	}
@@ -96,13 +96,13 @@
 }
 
 // news takes one message.
-func (c *Client) news(conn *connection, peer string) error {
+func (c *Client) news(conn *connection) error {
 	var news feedpb.News
 	if err := conn.receive(&news, c.Silence); err != nil {
 		return merry.Prepend(err, "read a feed")
 	}
 	proven := provenAt(&news)
-	c.Take(batchOf(&news, peer, proven))
+	c.Take(batchOf(&news, proven))
 	if age := c.Awake() - proven; age > c.MaxAge {
 		return merry.Appendf(ErrStale, "%s old", age)
 	}
@@ -117,9 +117,8 @@
 	return time.Duration(news.StampUs+news.HeldUs-news.AgeUs) * time.Microsecond
 }
 
-func batchOf(news *feedpb.News, peer string, proven time.Duration) follow.Batch {
+func batchOf(news *feedpb.News, proven time.Duration) follow.Batch {
 	b := follow.Batch{
-		Source:    peer,
 		Complete:  news.Complete,
 		Revision:  news.Revision,
 		Proven:    proven,
--- a/internal/follow/keeper.go
+++ b/internal/follow/keeper.go
@@ -20,8 +20,6 @@
 
 // Batch is news from a source.
 type Batch struct {
-	// Source names where it comes from, for logs.
-	Source string
 	// Complete tells that keys that are not among the changes don't exist.
 	Complete bool
 	Changes  []platform.Change
@@ -54,7 +52,6 @@
 	absences  map[string]absence
 	secret    []byte
 	proven    time.Duration
-	source    string
 	// forgotten is the revision up to which removals are no longer known.
 	forgotten uint64
 	history   time.Duration
@@ -93,7 +90,6 @@
 	}
 	if b.Proven > k.proven {
 		k.proven = b.Proven
-		k.source = b.Source
 	}
 	return changed
 }
@@ -212,8 +208,8 @@
 func (k *Keeper) Revision() uint64 { return k.directory.Revision() }
 
 // Proven returns the moment up to which nothing was missed, on the clock that
-// runs on while the machine sleeps, and who proved it.
-func (k *Keeper) Proven() (at time.Duration, source string) { return k.proven, k.source }
+// runs on while the machine sleeps.
+func (k *Keeper) Proven() time.Duration { return k.proven }
 
 // Since returns what a peer that is complete up to the revision lacks.
 func (k *Keeper) Since(now time.Duration, revision uint64) Batch {
--- a/internal/follow/keeper_test.go
+++ b/internal/follow/keeper_test.go
@@ -108,7 +108,7 @@
 	k.Apply(0, Batch{Revision: 4, Changes: []platform.Change{configurationAt(2, 1), old, removal("servers/i-1", 4)}})
 	k.Expire(testHistory)
 	k.Expire(testLifetime)
-	k.Apply(testLifetime, Batch{Source: "peer", Changes: []platform.Change{old}})
+	k.Apply(testLifetime, Batch{Changes: []platform.Change{old}})
 	require.Empty(t, openIDs(k.View(testLifetime)))
 }
 
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -14,7 +14,7 @@
 
 // Store is what following needs of the platform's store.
 type Store interface {
-	List(ctx context.Context, prefix, after string, stale bool) (platform.Page, error)
+	List(ctx context.Context, prefix, after string) (platform.Page, error)
 	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (platform.Changes, error)
 }
 
@@ -41,9 +41,6 @@
 	lost    bool
 }
 
-// sourceStore names the store as the source of a batch.
-const sourceStore = "store"
-
 // Resume makes the next step go on from the revision, which another source has
 // brought meanwhile.
 func (f *Follower) Resume(revision uint64) { f.cursor = max(f.cursor, revision) }
@@ -110,7 +107,7 @@
 // list reads all keys. The pages are no snapshot: the batch is complete up to
 // the first page's revision, and the watch goes on from there.
 func (f *Follower) list(ctx context.Context) error {
-	batch := Batch{Source: sourceStore, Complete: true, Proven: f.Awake()}
+	batch := Batch{Complete: true, Proven: f.Awake()}
 	after := ""
 	for range maxPages {
 		page, err := f.page(ctx, after)
@@ -138,7 +135,7 @@
 func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Pace.Call)
 	defer cancel()
-	return f.Store.List(ctx, platform.Everything, after, false)
+	return f.Store.List(ctx, platform.Everything, after)
 }
 
 // watch waits for changes. An answer without any proves that nothing had
@@ -158,7 +155,6 @@
 	}
 	f.cursor = max(f.cursor, changes.Revision)
 	f.Take(Batch{
-		Source:   sourceStore,
 		Changes:  changes.Changes,
 		Revision: f.cursor,
 		Proven:   proven,
--- a/internal/follow/store_test.go
+++ b/internal/follow/store_test.go
@@ -18,7 +18,6 @@
 	t     *testing.T
 	now   time.Duration
 	steps []step
-	log   []string
 }
 
 // step is one expected call and its answer.
@@ -39,7 +38,7 @@
 	return n
 }
 
-func (s *fakeStore) List(_ context.Context, prefix, after string, _ bool) (platform.Page, error) {
+func (s *fakeStore) List(_ context.Context, prefix, after string) (platform.Page, error) {
 	n := s.next(fmt.Sprintf("list %q after %q", prefix, after))
 	return n.page, n.err
 }
--- a/internal/relayd/announce.go
+++ b/internal/relayd/announce.go
@@ -37,7 +37,9 @@
 	store   *platform.Store
 	control *control
 	logger  *slog.Logger
-	lease   platform.Lease
+	// shortestLease is the shortest that the store grants.
+	shortestLease time.Duration
+	lease         platform.Lease
 }
 
 // run keeps the host registered until the context ends.
@@ -71,7 +73,7 @@
 			return err
 		}
 	}
-	if a.lease, err = a.store.Grant(ctx, announceTTL); err != nil {
+	if a.lease, err = a.store.Grant(ctx, max(announceTTL, a.shortestLease)); err != nil {
 		return err
 	}
 	_, err = a.store.Commit(ctx, platform.Transaction{
@@ -116,9 +118,11 @@
 		if errors.Is(err, platform.ErrNotFound) {
 			return
 		}
-		if err == nil {
-			renewed = time.Now()
+		if err != nil {
+			event.Log(a.logger, event.HostAnnounceFailed, slog.String("error", err.Error()))
+			continue
 		}
+		renewed = time.Now()
 	}
 }
 
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -78,9 +78,9 @@
 // take applies a batch.
 func (c *control) take(ctx context.Context, b follow.Batch) {
 	c.do(ctx, func() {
-		before, _ := c.keeper.Proven()
+		before := c.keeper.Proven()
 		changed := c.keeper.Apply(c.clock.Steady(), b)
-		proven, _ := c.keeper.Proven()
+		proven := c.keeper.Proven()
 		c.provenAwake.Store(int64(proven))
 		if changed {
 			c.publish()
--- a/standin/ends/caller.go
+++ b/standin/ends/caller.go
@@ -45,8 +45,6 @@
 	outcome Outcome
 	// ResetByHost tells that a host's own reset ended the flow.
 	ResetByHost bool
-	// answered is set while the flow is being closed.
-	answered bool
 }
 
 // NewAttempt opens a flow; the first packets are returned.
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -26,7 +26,6 @@
 	draining bool
 	gone     bool
 	born     int64
-	sequence int
 	// harmedUntil is until when the rules on flows allow for faults of it.
 	harmedUntil time.Duration
 }
