--- /dev/null
+++ b/internal/relay/later_test.go
@@ -0,0 +1,226 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangap/internal/catalog"
+	"toucangap/internal/segment"
+)
+
+func TestPacketsFollowTheToken(t *testing.T) {
+	r := newRig(t, 4)
+	id := r.place(1)
+	r.now += 6 * ms
+	r.ack(1, id, 1, 10)
+	r.ack(1, id, 500, 0)
+	sent, notes := r.take()
+	require.Equal(t, []string{id, id}, sent)
+	require.Empty(t, notes)
+	for i := range 4 {
+		require.Zero(t, r.relay.Endpoints(r.now)[i].Busy, "answered")
+	}
+	require.Equal(t, 1, r.relay.OpenFlows())
+	r.packet(segment.Segment{Flow: flowOf(1), Token: catalog.TokenOf(id), Sequence: 1011, Acknowledgement: 500, Ack: true, Fin: true})
+	_, notes = r.take()
+	require.Equal(t, []string{"ended fin"}, notes)
+	require.Zero(t, r.relay.OpenFlows())
+}
+
+// TestAnyHostForwards: a host that has never seen the flow forwards it.
+func TestAnyHostForwards(t *testing.T) {
+	r := newRig(t, 4)
+	for _, id := range []string{"i-3", "i-1"} {
+		r.ack(uint16(id[2]), id, 77, 10)
+		sent, notes := r.take()
+		require.Equal(t, []string{id}, sent)
+		require.Equal(t, []string{"adopted"}, notes)
+	}
+}
+
+func TestDropsByReason(t *testing.T) {
+	r := newRig(t, 2)
+	r.list("i-9", "other")
+	known := segment.Segment{Flow: theFlow, Token: catalog.TokenOf("i-1"), Ack: true, DataBytes: 5}
+	cases := []struct {
+		name   string
+		change func(s *segment.Segment)
+		sent   []string
+		note   string
+	}{
+		{"passed on before", func(s *segment.Segment) { s.Forwarded = true }, nil, "dropped looped"},
+		{"no token", func(s *segment.Segment) { s.Token = 0 }, nil, "dropped no_token"},
+		{"forged token", func(s *segment.Segment) { s.Token = 12345 }, nil, "dropped unknown_endpoint"},
+		{"token of another service", func(s *segment.Segment) { s.Token = catalog.TokenOf("i-9") }, nil, "dropped foreign_service"},
+		{"no route, data", func(s *segment.Segment) { s.Flow.Service.Port = 1 }, []string{"reset"}, "rejected route_removed"},
+		{"no route, no data", func(s *segment.Segment) { s.Flow.Service.Port, s.DataBytes = 1, 0 }, nil, "dropped no_route"},
+		{"a reset without a route", func(s *segment.Segment) { s.Flow.Service.Port, s.Reset = 1, true }, nil, "dropped no_route"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := known
+			c.change(&s)
+			r.packet(s)
+			sent, notes := r.take()
+			require.Equal(t, c.sent, sent)
+			require.Equal(t, []string{c.note}, notes)
+		})
+	}
+	blank := New(Options{Output: r, Observer: r, MaxFlows: 1}, 0)
+	blank.Packet(0, known, nil)
+	_, notes := r.take()
+	require.Equal(t, []string{"dropped no_configuration"}, notes)
+}
+
+// TestChangedRouteLeavesOpenFlows: known flows, and for a flow's life also
+// unknown ones, go on at the former service.
+func TestChangedRouteLeavesOpenFlows(t *testing.T) {
+	r := newRig(t, 3)
+	r.list("i-9", "other")
+	id := r.place(1)
+	r.ack(1, id, 1, 10)
+	r.configure("other")
+	r.ack(1, id, 400, 20)
+	r.ack(2, "i-1", 400, 20)
+	sent, _ := r.take()
+	require.Equal(t, []string{id, id, "i-1"}, sent)
+	r.now += lifetime + 1
+	r.ack(3, "i-1", 400, 20)
+	_, notes := r.take()
+	require.Equal(t, "dropped foreign_service", notes[len(notes)-1])
+}
+
+// TestYoungHostTrustsTokens: a host that has just started can't know which
+// services the routes had.
+func TestYoungHostTrustsTokens(t *testing.T) {
+	r := newRig(t, 1)
+	r.list("i-9", "other")
+	r.now = lifetime - 1
+	r.ack(1, "i-9", 1, 10)
+	sent, _ := r.take()
+	require.Equal(t, []string{"i-9"}, sent)
+}
+
+// TestRemovedRoute: answers in progress still arrive, new data is refused.
+func TestRemovedRoute(t *testing.T) {
+	r := newRig(t, 2)
+	id := r.place(1)
+	r.ack(1, id, 1, 10)
+	r.configure()
+	r.ack(1, id, 900, 0)
+	sent, _ := r.take()
+	require.Equal(t, []string{id, id}, sent)
+	r.packet(segment.Segment{Flow: flowOf(1), Token: catalog.TokenOf(id), Sequence: 1011, Acknowledgement: 900, Ack: true, DataBytes: 10})
+	sent, notes := r.take()
+	require.Equal(t, []string{"reset"}, sent)
+	require.Equal(t, []string{"rejected route_removed"}, notes)
+	r.ack(1, id, 900, 10)
+	sent, _ = r.take()
+	require.Equal(t, []string{"reset"}, sent, "the reset may have been lost")
+}
+
+// TestDeadEndpoint: flows that wait there are reset once it is certain, flows
+// elsewhere are not touched.
+func TestDeadEndpoint(t *testing.T) {
+	r := newRig(t, 2)
+	victim := r.place(1)
+	r.ack(1, victim, 1, 10)
+	healthy := "i-1"
+	if victim == healthy {
+		healthy = "i-2"
+	}
+	r.ack(500, healthy, 1, 10)
+	r.take()
+	resets := 0
+	for port := uint16(10); resets == 0 && port < 100; port++ {
+		r.now += 20 * ms
+		r.syn(port, 0)
+		sent, _ := r.take()
+		if sent[0] != healthy {
+			r.wait(mostPatience)
+			sent, _ = r.take()
+			require.Equal(t, healthy, sent[0])
+		} else {
+			r.now += 6 * ms
+		}
+		r.ack(port, healthy, 1, 10)
+		r.ack(port, healthy, 300, 0)
+		sent, _ = r.take()
+		for _, s := range sent {
+			if s == "reset" {
+				resets++
+			}
+		}
+	}
+	require.Equal(t, 1, resets)
+	require.False(t, r.relay.flows[flowOf(1)].waiting)
+}
+
+// TestFlowOfAReturnedEndpoint: an endpoint that was held for dead may have come
+// back; a flow that another host opened there since is forwarded.
+func TestFlowOfAReturnedEndpoint(t *testing.T) {
+	r := newRig(t, 2)
+	e := r.relay.endpoints[catalog.TokenOf("i-1")]
+	for i := range 5 {
+		sent := r.now + time.Duration(i)*50*ms
+		e.Silent(sent+10*ms, sent)
+		e.Left(sent)
+	}
+	require.True(t, e.Dead())
+	r.now += time.Second
+	r.ack(1, "i-1", 1, 10)
+	r.ack(1, "i-1", 1, 10)
+	sent, _ := r.take()
+	require.Equal(t, []string{"i-1", "i-1"}, sent)
+	e.Silent(r.now+50*ms, r.now+40*ms)
+	e.Left(r.now + 40*ms)
+	r.now += 200 * ms
+	r.ack(1, "i-1", 1, 10)
+	sent, _ = r.take()
+	require.Equal(t, []string{"reset"}, sent, "it has left another flow since")
+}
+
+// TestLivingEndpointIsNeverCut: however many reactions to first packets are
+// lost, an endpoint keeps its open flow while that goes on between them.
+func TestLivingEndpointIsNeverCut(t *testing.T) {
+	for seed := range uint64(200) {
+		r := newRig(t, 3)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		id := r.place(1)
+		r.ack(1, id, 1, 10)
+		acknowledged := uint32(1)
+		for port := uint16(2); port < 60; port++ {
+			r.wait(time.Duration(rng.IntN(30)) * ms)
+			r.syn(port, 0)
+			if rng.IntN(3) > 0 {
+				r.ack(port, r.sent[len(r.sent)-1], 1, 10)
+			}
+			for range rng.IntN(2) + 1 {
+				acknowledged += 100
+				r.ack(1, id, acknowledged, 10)
+			}
+		}
+		f := r.relay.flows[flowOf(1)]
+		require.False(t, f.cut, "seed %d", seed)
+		require.Equal(t, stateOpen, f.state, "seed %d", seed)
+	}
+}
+
+// TestLateAcceptance: an endpoint whose acceptance comes after that of another
+// shows by the token that the caller then returns; it is not held for dead.
+func TestLateAcceptance(t *testing.T) {
+	r := newRig(t, 2)
+	late := r.place(1)
+	r.wait(firstPatience)
+	sent, _ := r.take()
+	holder := sent[0]
+	r.ack(1, holder, 1, 10)
+	require.Equal(t, 1, r.unanswered(late))
+	r.ack(1, late, 1, 10)
+	require.Zero(t, r.unanswered(late))
+	sent, _ = r.take()
+	require.Equal(t, []string{holder, holder}, sent)
+}
