--- a/standin/soak/play.go
+++ b/standin/soak/play.go
@@ -73,7 +73,7 @@
 		return report, err
 	}
 	defer s.Close()
-	w := &watch{site: s, versions: make(map[string]seen), told: make(map[string]bool)}
+	w := newWatch(s)
 	if !waitReady(ctx, s) {
 		s.Violate("hosts are not ready in time")
 	}
@@ -152,6 +152,17 @@
 	// newest is the newest version and since when it is.
 	newest uint64
 	since  time.Time
+	// memory, descriptors and flows are what a host may have.
+	memory      int64
+	descriptors int
+	flows       int
+}
+
+func newWatch(s *site.Site) *watch {
+	return &watch{
+		site: s, versions: make(map[string]seen), told: make(map[string]bool),
+		memory: mostMemory, descriptors: mostDescriptors, flows: leftOver,
+	}
 }
 
 // lookInterval is how often hosts are asked.
@@ -212,7 +223,7 @@
 func (w *watch) usage() {
 	for _, h := range w.site.Hosts() {
 		memory, descriptors := h.Usage()
-		if memory > mostMemory || descriptors > mostDescriptors {
+		if memory > w.memory || descriptors > w.descriptors {
 			w.site.Violate(fmt.Sprintf("%s uses %d bytes and %d descriptors", h.Name, memory, descriptors))
 		}
 		if n := h.Failures(); n > 0 {
@@ -235,7 +246,7 @@
 				open++
 			}
 		}
-		if dump.FlowsHeld > leftOver {
+		if dump.FlowsHeld > w.flows {
 			w.site.Violate(fmt.Sprintf("%s holds %d flows, %d of the listed ones open", h.Name, dump.FlowsHeld, open))
 		}
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -47,7 +47,7 @@
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	require.True(t, waitReady(t.Context(), s))
-	return s, &watch{site: s, versions: make(map[string]seen), told: make(map[string]bool)}
+	return s, newWatch(s)
 }
 
 func requireViolation(t *testing.T, s *site.Site, text string) {
@@ -88,6 +88,51 @@
 	requireViolation(t, s, "ended by itself")
 }
 
+// TestSlowStop: a host that does not end in time is noticed.
+func TestSlowStop(t *testing.T) {
+	s, _ := newSite(t, 18470)
+	require.NoError(t, syscall.Kill(s.Hosts()[0].PID(), syscall.SIGSTOP))
+	stopHost(s, Fault{})
+	require.Eventually(t, func() bool {
+		n := 0
+		s.Locked(func() { n = len(s.Result.Violations) })
+		return n > 0
+	}, 20*time.Second, 50*time.Millisecond)
+	requireViolation(t, s, "took too long")
+}
+
+// TestBoundsOfHosts: a host over its bounds is noticed, each bound by itself.
+func TestBoundsOfHosts(t *testing.T) {
+	s, w := newSite(t, 18450)
+	w.memory = 1
+	w.usage()
+	requireViolation(t, s, "bytes and")
+	w.memory = mostMemory
+	before := 0
+	s.Locked(func() { before = len(s.Result.Violations) })
+	w.descriptors = 1
+	w.usage()
+	s.Locked(func() { require.Len(t, s.Result.Violations, before+1) })
+	w.flows = -1
+	w.leftOver()
+	requireViolation(t, s, "holds 0 flows")
+}
+
+// TestLateConfiguration: a host that does not follow is noticed, and one that
+// goes back.
+func TestLateConfiguration(t *testing.T) {
+	s, w := newSite(t, 18460)
+	h := s.Hosts()[0]
+	require.Eventually(t, func() bool { return h.Age() > site.ConfigBound }, 20*time.Second, 50*time.Millisecond)
+	h.Store.Set(site.Harm{CutUp: true, CutDown: true}, time.Minute)
+	s.Configure()
+	w.until(t.Context(), time.Now().Add(site.ConfigBound+time.Second))
+	requireViolation(t, s, "newest is")
+	w.versions[h.Name] = seen{version: 1 << 40, process: h.PID()}
+	w.look()
+	requireViolation(t, s, "went back")
+}
+
 // TestLedgerChecks: what endpoints must not see is noticed.
 func TestLedgerChecks(t *testing.T) {
 	s, _ := newSite(t, 18430)
