--- a/standin/site/result.go
+++ b/standin/site/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,20 @@
 
 func (r *Result) violateNow(s *Site, text string) { r.violate(s.now(), text) }
 
+// Violations returns what must not have happened so far.
+func (s *Site) Violations() []string {
+	s.Result.mu.Lock()
+	defer s.Result.mu.Unlock()
+	return slices.Clone(s.Result.Violations)
+}
+
+// Faults returns the faults so far.
+func (s *Site) Faults() []string {
+	s.Result.mu.Lock()
+	defer s.Result.mu.Unlock()
+	return slices.Clone(s.Result.Faults)
+}
+
 // Fault notes a fault for the report.
 func (s *Site) Fault(text string) {
 	s.Result.mu.Lock()
--- a/standin/soak/play.go
+++ b/standin/soak/play.go
@@ -110,9 +110,8 @@
 }
 
 func fill(r *Report, s *site.Site) {
+	r.Violations, r.Faults = s.Violations(), s.Faults()
 	s.Locked(func() {
-		r.Violations = s.Result.Violations
-		r.Faults = s.Result.Faults
 		r.Seconds = s.Result.Seconds
 		r.Total = s.Result.Total()
 		p := s.Result.Times.Snapshot().Percentiles([]float64{0.5, 0.99})
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -51,9 +51,7 @@
 }
 
 func requireViolation(t *testing.T, s *site.Site, text string) {
-	found := ""
-	s.Locked(func() { found = strings.Join(s.Result.Violations, "\n") })
-	require.Contains(t, found, text)
+	require.Contains(t, strings.Join(s.Violations(), "\n"), text)
 }
 
 // TestCalmSitePasses: without faults no check fails.
@@ -94,9 +92,7 @@
 	require.NoError(t, syscall.Kill(s.Hosts()[0].PID(), syscall.SIGSTOP))
 	stopHost(s, Fault{})
 	require.Eventually(t, func() bool {
-		n := 0
-		s.Locked(func() { n = len(s.Result.Violations) })
-		return n > 0
+		return len(s.Violations()) > 0
 	}, 20*time.Second, 50*time.Millisecond)
 	requireViolation(t, s, "took too long")
 }
@@ -108,11 +104,10 @@
 	w.usage()
 	requireViolation(t, s, "bytes and")
 	w.memory = mostMemory
-	before := 0
-	s.Locked(func() { before = len(s.Result.Violations) })
+	before := len(s.Violations())
 	w.descriptors = 1
 	w.usage()
-	s.Locked(func() { require.Len(t, s.Result.Violations, before+1) })
+	require.Len(t, s.Violations(), before+1)
 	w.flows = -1
 	w.leftOver()
 	requireViolation(t, s, "holds 0 flows")
@@ -166,9 +161,7 @@
 	_, err = conn.Write(platform.AppendReset(nil, flow, 0))
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
-		n := 0
-		s.Locked(func() { n = len(s.Result.Violations) })
-		return n > 0
+		return len(s.Violations()) > 0
 	}, 10*time.Second, 5*time.Millisecond)
 	requireViolation(t, s, "open flow reset at a living endpoint")
 }
