Admit no request on a flow that may have left a drained default with a lost host

The owner was paused and given up while it held the only knowledge of a flow; the flow's default endpoint drained meanwhile. The host that the next owner asked took the caller's repetition for a new flow, chose another endpoint and sent its record to the owner, where the request ran again. Change: while a departed owner has not handed over, a datagram flow whose default began to drain within the repetition window is not begun by an asked host, and its owner admits requests that must run once only after that window.

--- a/internal/steer/admit.go
+++ b/internal/steer/admit.go
@@ -70,7 +70,7 @@
 	if s.shared.fenced(c.now) || !e.has(flagKnown) && c.rank.missing > 1 {
 		return false
 	}
-	if e.has(flagContested) {
+	if e.has(flagContested) || e.has(flagDoubted) && s.leftDefault(c, c.view.Baseline) {
 		return false
 	}
 	if !e.has(flagException) {
--- a/internal/steer/endpoint.go
+++ b/internal/steer/endpoint.go
@@ -121,9 +121,12 @@
 // drained reports whether the endpoint has been draining for so long that all
 // its flows have records.
 func (e *Endpoint) drained(now Time) bool {
-	return e.Life() == LifeDraining && now-Time(e.lifeSince.Load()) >= drainSettle
+	return e.Life() == LifeDraining && now-e.lifeStart() >= drainSettle
 }
 
+// lifeStart returns when the endpoint's present stage of life began.
+func (e *Endpoint) lifeStart() Time { return Time(e.lifeSince.Load()) }
+
 // StartRamp marks the endpoint as cold from now on.
 func (e *Endpoint) StartRamp(now Time) {
 	e.activeSince.Store(int64(now))
--- a/internal/steer/flows.go
+++ b/internal/steer/flows.go
@@ -59,6 +59,9 @@
 	// flagDormant tells that the flow has been idle for so long that it does
 	// not count as open.
 	flagDormant
+	// flagDoubted tells that the flow began here, but may be an older one that
+	// left its default endpoint; see leftDefault.
+	flagDoubted
 )
 
 func (e *entry) has(f entryFlags) bool {
--- a/internal/steer/route.go
+++ b/internal/steer/route.go
@@ -86,6 +86,8 @@
 type origin struct {
 	// elsewhere tells that another host may have decided on it.
 	elsewhere bool
+	// lost tells that this host may have gone without handing over what it held.
+	lost bool
 	// version is by whose defaults that host went.
 	version config.Version
 }
@@ -94,12 +96,12 @@
 // at a host that decided for this one while it joined or was out of contact.
 func (s *Shard) origin(c *call) origin {
 	if d := c.rank.departed; d != nil && c.now-d.At < TakeoverWindow {
-		return origin{true, d.Baseline}
+		return origin{elsewhere: true, lost: !d.HandedOver, version: d.Baseline}
 	}
 	contact := s.shared.inContactSince()
 	contactLost := contact > c.view.OwnerSince && c.now-contact < TakeoverWindow
 	elsewhere := !c.mine || c.now < c.view.DefaultsUntil || contactLost
-	return origin{elsewhere, c.view.Baseline}
+	return origin{elsewhere: elsewhere, version: c.view.Baseline}
 }
 
 // formerDefault returns the endpoint that an unknown flow has by default if it
@@ -137,6 +139,11 @@
 
 // begin chooses the endpoint of a new flow.
 func (s *Shard) begin(c *call, o origin) (*entry, Verdict) {
+	doubted := o.lost && s.leftDefault(c, o.version)
+	if doubted && !c.mine {
+		// The owner would take the record of a flow begun here for certain.
+		return nil, drop(ReasonUnconfirmed)
+	}
 	chosen := s.chooseEndpoint(c)
 	if chosen.endpoint == nil {
 		return nil, s.refuseFlow(c, ReasonNoEndpoint)
@@ -155,10 +162,25 @@
 	if chosen.contested {
 		e.flags |= flagContested
 	}
+	if doubted {
+		e.flags |= flagDoubted
+	}
 	s.recordIfNeeded(c, e)
 	return e, Verdict{}
 }
 
+// leftDefault reports whether the flow's default endpoint under a version began
+// to drain within the time in which callers repeat a request. A host that has
+// gone since may have sent a request there and lost its record of the flow, so
+// that the caller's repetition looks like the beginning of a flow.
+func (s *Shard) leftDefault(c *call, version config.Version) bool {
+	if c.packet.Key.Protocol == flow.TCP {
+		return false
+	}
+	e := c.view.TableAt(version, c.table.Service.ID).Default(c.fp)
+	return e != nil && e.drained(c.now) && c.now-e.lifeStart() < drainSettle+RetransmitWindow
+}
+
 // recordIfNeeded queues the record of a flow that a host that took over could
 // not resolve without it.
 func (s *Shard) recordIfNeeded(c *call, e *entry) {
