Keep flows away from endpoints that fail part of their requests

Cause: endpoints that answer part of their requests with errors, or shed them, look fast and free and drew more than their share. Ruled out: times alone (an error takes 1 ms and counts as free, not as slow); each host for itself at 36 hosts (a host sees 0.36 requests a second of one endpoint). Change: an answer far smaller than its route's usual ones, a missing one and one overdue after 4 usual times count as failures of the endpoint; the share beyond the service's own costs a caller's time in the choice. Hosts of a domain tell each other over their feeds, at once when an endpoint begins to fail. Requests in progress at endpoints that hang are still lost.

--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,8 @@
 
 generate:
 	$(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-	protoc -I internal/peerpb --plugin=$(BIN)/protoc-gen-go --go_out=. --go_opt=module=toucangap $(wildcard internal/peerpb/*.proto)
+	for d in internal/peerpb internal/feed/feedpb; do \
+		protoc -I $$d --plugin=$(BIN)/protoc-gen-go --go_out=. --go_opt=module=toucangap $$d/*.proto || exit 1; done
 
 clean:
 	rm -rf bin out
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -67,11 +67,17 @@
 	trial        bool
 	lastLife     time.Duration
 	answer       average
+	// own and heard tell how requests ended, as seen by this host and by others.
+	own   Tally
+	heard Tally
+	// saidFailing is what Turned has reported last.
+	saidFailing bool
 }
 
 // Service gathers what endpoints of one service have in common.
 type Service struct {
 	answer average
+	tally  Tally
 }
 
 // Suspect reports whether the endpoint is passed over for now.
@@ -167,6 +173,7 @@
 func (e *Endpoint) Forgive() {
 	e.unanswered, e.left = 0, 0
 	e.trial = false
+	e.own, e.heard = Tally{}, Tally{}
 }
 
 // Expected returns how long an answer of the endpoint to one more request is
@@ -219,6 +226,9 @@
 	Now    time.Duration
 	Hash   uint64
 	Domain string
+	// FailureCost is what a failed request costs its caller: the time that it has
+	// for all its tries.
+	FailureCost time.Duration
 	// Tried are endpoints that did not react to this flow before.
 	Tried []*Endpoint
 }
@@ -227,7 +237,7 @@
 // flow. Among equal ones the flow's hash decides, alike on all hosts. The load
 // that it answers is many short requests over endpoints with few slots: queues
 // at single endpoints while others are free, cold and slow endpoints, endpoints
-// that have died without a sign. The choice is empty if there is no candidate.
+// that fail part of their requests or have died without a sign. The choice is empty if there is no candidate.
 func Choose(r Request, s *Service, candidates []*Endpoint) Choice {
 	best := Choice{Candidates: len(candidates)}
 	var spare Choice
@@ -276,13 +286,14 @@
 	return rank < otherRank
 }
 
-// additions returns the cost of requests in free slots and of distance.
+// additions returns the cost of requests in free slots, of distance and of
+// failures.
 func additions(e *Endpoint, r Request, s *Service) time.Duration {
 	cost := time.Duration(occupiedShare * float64(s.Usual()) * float64(e.Busy))
 	if e.Entry.Domain != r.Domain {
 		cost += distanceCost
 	}
-	return cost
+	return cost + time.Duration(e.Failing(r.Now, s)*float64(r.FailureCost))
 }
 
 func tried(list []*Endpoint, e *Endpoint) bool {
--- /dev/null
+++ b/internal/balance/tally_test.go
@@ -0,0 +1,144 @@
+package balance
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestUndersizedAnswers(t *testing.T) {
+	sizes := func(usual ...uint32) *Sizes {
+		z := new(Sizes)
+		for range 10 {
+			for _, u := range usual {
+				z.Undersized(u)
+			}
+		}
+		return z
+	}
+	for _, c := range []struct {
+		name  string
+		usual []uint32
+		size  uint32
+		want  bool
+	}{
+		{"an error among answers of one size", []uint32{800, 800, 800}, 170, true},
+		{"an error among answers of varied size", []uint32{600, 1000, 1500, 1100, 900}, 170, true},
+		{"a smaller answer among varied ones", []uint32{600, 1000, 1500, 1100, 900}, 450, false},
+		{"half of the usual size", []uint32{800, 800, 800}, 401, false},
+		{"one of two usual sizes", []uint32{170, 20_000}, 170, false},
+		{"a larger answer", []uint32{800, 800, 800}, 100_000, false},
+		{"nothing is known yet", nil, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, sizes(c.usual...).Undersized(c.size))
+		})
+	}
+}
+
+// TestSmallerAnswersBecomeUsual: when a service's answers become smaller for
+// good, they are no failures after a while.
+func TestSmallerAnswersBecomeUsual(t *testing.T) {
+	var z Sizes
+	for range 100 {
+		z.Undersized(1000)
+	}
+	small := 0
+	for range 400 {
+		if z.Undersized(200) {
+			small++
+		}
+	}
+	require.Positive(t, small)
+	require.False(t, z.Undersized(200))
+}
+
+// TestFailingEndpointIsPassedOver plays an endpoint that fails half of its
+// requests: within a few of them it gets no more, and it is tried again later.
+func TestFailingEndpointIsPassedOver(t *testing.T) {
+	all := endpoints(4, "here")
+	var s Service
+	teach(&s, all, 20*ms)
+	bad := all[0]
+	failed := 0
+	for i := range 200 {
+		r := request(time.Duration(i)*10*ms, uint64(i)*0x9e3779b97f4a7c15)
+		r.FailureCost = time.Second
+		e := Choose(r, &s, all).Endpoint
+		fails := e == bad && i%2 == 0
+		if fails {
+			failed++
+		}
+		e.Judged(r.Now, fails, &s)
+	}
+	require.Less(t, failed, 5)
+	late := request(time.Minute, 0)
+	require.Zero(t, bad.Failing(late.Now, &s))
+}
+
+// TestOneFailureIsBorne: an endpoint with a good record is not condemned by one
+// failure, and one that fails like all others is not at all.
+func TestOneFailureIsBorne(t *testing.T) {
+	all := endpoints(3, "here")
+	var s Service
+	for range 20 {
+		for _, e := range all {
+			e.Judged(0, false, &s)
+		}
+	}
+	all[0].Judged(0, true, &s)
+	require.Zero(t, all[0].Failing(0, &s))
+
+	var worse Service
+	for i := range 60 {
+		all[1].Judged(0, i%2 == 0, &worse)
+		all[2].Judged(0, i%2 == 0, &worse)
+	}
+	require.Less(t, all[1].Failing(0, &worse), 0.05)
+}
+
+// TestHearsayCounts: what other hosts have seen counts as much as what this one
+// has, until it is replaced.
+func TestHearsayCounts(t *testing.T) {
+	e := endpoints(1, "here")[0]
+	var s Service
+	e.Hear(0, Tally{Answers: 20, Failed: 10})
+	require.Greater(t, e.Failing(0, &s), 0.3)
+	e.Hear(0, Tally{})
+	require.Zero(t, e.Failing(0, &s))
+}
+
+func TestTurnedOnce(t *testing.T) {
+	e := endpoints(1, "here")[0]
+	var s Service
+	for range 10 {
+		e.Judged(0, true, &Service{})
+	}
+	failing, turned := e.Turned(0, &s)
+	require.True(t, failing && turned)
+	_, turned = e.Turned(0, &s)
+	require.False(t, turned)
+	failing, turned = e.Turned(time.Minute, &s)
+	require.True(t, !failing && turned)
+}
+
+// TestTallyStaysBounded: whatever is counted, shares are shares and a tally
+// holds no more than its bound.
+func TestTallyStaysBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tally Tally
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "answers") {
+			now += time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "gap"))
+			tally.add(now, rapid.Bool().Draw(t, "failed"))
+			share := tally.share()
+			require.False(t, math.IsNaN(share))
+			require.True(t, share >= 0 && share <= 1)
+			require.LessOrEqual(t, tally.Answers, mostAnswers+1e-9)
+			require.LessOrEqual(t, tally.Failed, tally.Answers+1e-9)
+		}
+	})
+}
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -20,6 +20,8 @@
 	SettingsRefused
 	SendFailed
 	StopWaits
+	EndpointFailing
+	EndpointWell
 )
 
 var relayArea = Area{
@@ -41,6 +43,8 @@
 		{SettingsRefused, slog.LevelError, "changed settings refused", "Mend the file; the former settings stay in force."},
 		{SendFailed, slog.LevelWarn, "datagram not sent", "Look at the network interface and the link's load."},
 		{StopWaits, slog.LevelInfo, "planned stop waits for another host of the domain", "None; stop the hosts of a domain one at a time."},
+		{EndpointFailing, slog.LevelWarn, "endpoint fails requests", "Look at the endpoint; its answers are missing or far smaller than the route's usual ones."},
+		{EndpointWell, slog.LevelInfo, "endpoint fails no more requests", "None."},
 	},
 }
 
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -15,8 +15,9 @@
 
 // Client follows another host.
 type Client struct {
-	// Host is the name of this host.
-	Host string
+	// Host and Domain are the name and the failure domain of this host.
+	Host   string
+	Domain string
 	// Secret is the hosts' secret. Without it the peer is trusted by its address
 	// alone, and does not tell the secret.
 	Secret []byte
@@ -33,8 +34,14 @@
 	Connected func()
 	// Take is given what the peer knows.
 	Take func(follow.Batch)
+	// Exchange is set if the peer is of the same failure domain.
+	Exchange Exchange
 }
 
+// tellInterval is the time between two pings while there is something to tell of
+// endpoints: callers' tries again come within some hundred milliseconds.
+const tellInterval = 200 * time.Millisecond
+
 // Follow connects to a peer and takes its news until the context ends or the
 // peer is lost, silent or too old.
 func (c *Client) Follow(ctx context.Context, peer follow.Host) error {
@@ -52,20 +59,37 @@
 	}
 	c.Connected()
 	// The reader notices when the connection is lost.
-	go c.pings(conn)
+	go c.pings(conn, peer.Name)
 	for ctx.Err() == nil {
-		if err := c.news(conn); err != nil {
+		if err := c.news(conn, peer.Name); err != nil {
 			return err
 		}
 	}
 	return context.Cause(ctx)
 }
 
-// pings sends the time now and then until the connection is closed.
-func (c *Client) pings(conn *connection) {
+// pings sends the time now and then, and what there is to tell, until the
+// connection is closed.
+func (c *Client) pings(conn *connection, peer string) {
+	interval := c.Interval
+	var added <-chan struct{}
 	for {
-		time.Sleep(c.Interval)
-		if err := conn.send(c.ping(), writeTimeout); err != nil {
+		if c.Exchange != nil {
+			added = c.Exchange.Added()
+		}
+		select {
+		case <-time.After(interval):
+		case <-added:
+		}
+		ping := c.ping()
+		interval = c.Interval
+		if c.Exchange != nil {
+			ping.Sightings = encodeSightings(c.Exchange.Tell(peer))
+		}
+		if len(ping.Sightings) > 0 {
+			interval = min(tellInterval, c.Interval)
+		}
+		if err := conn.send(ping, writeTimeout); err != nil {
 			return
 		}
 	}
@@ -75,7 +99,7 @@
 
 func (c *Client) handshake(conn *connection) error {
 	nonce := newNonce()
-	if err := conn.send(&feedpb.Hello{Host: c.Host, Nonce: nonce}, handshakeTimeout); err != nil {
+	if err := conn.send(&feedpb.Hello{Host: c.Host, Domain: c.Domain, Nonce: nonce}, handshakeTimeout); err != nil {
 		return err
 	}
 	var challenge feedpb.Challenge
@@ -96,13 +120,16 @@
 }
 
 // news takes one message.
-func (c *Client) news(conn *connection) error {
+func (c *Client) news(conn *connection, peer string) error {
 	var news feedpb.News
 	if err := conn.receive(&news, c.Silence); err != nil {
 		return merry.Prepend(err, "read a feed")
 	}
 	proven := provenAt(&news)
 	c.Take(batchOf(&news, proven))
+	if c.Exchange != nil {
+		c.Exchange.Told(peer, decodeSightings(news.Sightings))
+	}
 	if age := c.Awake() - proven; age > c.MaxAge {
 		return merry.Appendf(ErrStale, "%s old", age)
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -57,10 +57,15 @@
 
 // serveOn serves the source on a loopback address.
 func serveOn(t *testing.T, source Source, awake func() time.Duration) follow.Host {
+	return serveWith(t, &Server{Source: source, Awake: awake})
+}
+
+// serveWith serves on a loopback address.
+func serveWith(t *testing.T, server *Server) follow.Host {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
-	server := &Server{Source: source, Logger: slog.New(slog.DiscardHandler), Silence: 5 * time.Second, Awake: awake}
+	server.Logger, server.Silence = slog.New(slog.DiscardHandler), 5*time.Second
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(ctx, listener) }()
 	t.Cleanup(func() {
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -32,8 +32,13 @@
 
 // Server feeds other hosts.
 type Server struct {
+	// Domain is the failure domain of this host.
+	Domain string
 	Source Source
-	Logger *slog.Logger
+	// Exchange is used with clients of the same domain that know the secret; it
+	// may be nil.
+	Exchange Exchange
+	Logger   *slog.Logger
 	// Silence is how long a client may say nothing.
 	Silence time.Duration
 	// Awake tells the time on a clock that runs on while the machine sleeps.
@@ -81,7 +86,7 @@
 	}
 	event.Log(s.Logger, event.FeedServing, slog.String("host", c.host), slog.Uint64("revision", c.revision), slog.Bool("proven", c.proven))
 	pings := make(chan ping, 1)
-	go s.readPings(conn, pings)
+	go s.readPings(conn, c, pings)
 	err = s.feed(ctx, conn, c, pings)
 	event.Log(s.Logger, event.FeedLost, slog.String("host", c.host), slog.String("error", errorText(err)))
 }
@@ -93,13 +98,16 @@
 }
 
 // readPings passes pings on until the connection is lost.
-func (s *Server) readPings(conn *connection, pings chan<- ping) {
+func (s *Server) readPings(conn *connection, c client, pings chan<- ping) {
 	defer close(pings)
 	for {
 		var p feedpb.Ping
 		if err := conn.receive(&p, s.Silence); err != nil {
 			return
 		}
+		if c.exchanges {
+			s.Exchange.Told(c.host, decodeSightings(p.Sightings))
+		}
 		pings <- ping{stampUs: p.StampUs, arrived: s.Awake()}
 	}
 }
@@ -110,6 +118,8 @@
 	revision uint64
 	// proven tells that it knows the hosts' secret.
 	proven bool
+	// exchanges tells that it is of this host's domain, too.
+	exchanges bool
 }
 
 func (s *Server) handshake(ctx context.Context, conn *connection) (c client, err error) {
@@ -134,6 +144,7 @@
 	if c.proven && !hmac.Equal(subscribe.Proof, prove(secret, roleClient, nonce, hello.Nonce)) {
 		return c, ErrProof
 	}
+	c.exchanges = c.proven && s.Exchange != nil && hello.Domain == s.Domain
 	return c, nil
 }
 
@@ -146,18 +157,23 @@
 		}
 	}()
 	last, ok := <-pings
+	var added <-chan struct{}
 	for ok {
+		if c.exchanges {
+			added = s.Exchange.Added()
+		}
 		changed := s.Source.Changed()
 		batch, err := s.Source.Since(ctx, c.revision)
 		if err != nil {
 			return err
 		}
-		if err := conn.send(s.newsOf(&batch, last, c.proven), writeTimeout); err != nil {
+		if err := conn.send(s.newsOf(&batch, last, c), writeTimeout); err != nil {
 			return err
 		}
 		c.revision = max(c.revision, batch.Revision)
 		select {
 		case <-changed:
+		case <-added:
 		case last, ok = <-pings:
 		case <-ctx.Done():
 			return context.Cause(ctx)
@@ -166,7 +182,7 @@
 	return nil
 }
 
-func (s *Server) newsOf(b *follow.Batch, last ping, proven bool) *feedpb.News {
+func (s *Server) newsOf(b *follow.Batch, last ping, c client) *feedpb.News {
 	now := s.Awake()
 	news := &feedpb.News{
 		Complete:    b.Complete,
@@ -176,16 +192,19 @@
 		StampUs:     last.stampUs,
 		HeldUs:      (now - last.arrived).Microseconds(),
 	}
+	if c.exchanges {
+		news.Sightings = encodeSightings(s.Exchange.Tell(c.host))
+	}
 	for i := range b.Changes {
-		c := &b.Changes[i]
-		if kind, _ := platform.Classify(c.Key); kind == platform.KindSecret && !proven {
+		change := &b.Changes[i]
+		if kind, _ := platform.Classify(change.Key); kind == platform.KindSecret && !c.proven {
 			continue
 		}
 		news.Changes = append(news.Changes, &feedpb.Change{
-			Key:      c.Key,
-			Value:    c.Value,
-			Revision: c.Revision,
-			Removed:  c.Removed,
+			Key:      change.Key,
+			Value:    change.Value,
+			Revision: change.Revision,
+			Removed:  change.Removed,
 		})
 	}
 	return news
--- /dev/null
+++ b/internal/feed/sightings.go
@@ -0,0 +1,51 @@
+package feed
+
+import (
+	"toucangap/internal/catalog"
+	"toucangap/internal/feed/feedpb"
+	"toucangap/internal/sighting"
+)
+
+// Exchange is how the hosts of a failure domain tell each other of endpoints.
+type Exchange interface {
+	// Told takes a host's list, which replaces its former one.
+	Told(host string, list []sighting.Sighting)
+	// Tell returns what is known but from the named host.
+	Tell(host string) []sighting.Sighting
+	// Added returns a channel that is closed when there is something to tell at
+	// once.
+	Added() <-chan struct{}
+}
+
+// mostAnswers bounds the count of one sighting: more than a failure domain asks of
+// one endpoint in the time that counts.
+const mostAnswers = 1e6
+
+// maxSightings bounds a list that a peer sends: the endpoints of a large
+// deployment that fail at once.
+const maxSightings = 10_000
+
+func encodeSightings(list []sighting.Sighting) []*feedpb.Sighting {
+	if len(list) == 0 {
+		return nil
+	}
+	encoded := make([]*feedpb.Sighting, len(list))
+	for i, s := range list {
+		encoded[i] = &feedpb.Sighting{Token: uint32(s.Endpoint), Answers: float32(s.Answers), Failed: float32(s.Failed)}
+	}
+	return encoded
+}
+
+func decodeSightings(encoded []*feedpb.Sighting) []sighting.Sighting {
+	encoded = encoded[:min(len(encoded), maxSightings)]
+	list := make([]sighting.Sighting, 0, len(encoded))
+	for _, s := range encoded {
+		// What is no count is not believed; a comparison with NaN is false.
+		if s.Failed > 0 && s.Answers >= s.Failed && s.Answers < mostAnswers {
+			list = append(list, sighting.Sighting{
+				Endpoint: catalog.Token(s.Token), Answers: float64(s.Answers), Failed: float64(s.Failed),
+			})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/feed/sightings_test.go
@@ -0,0 +1,81 @@
+package feed
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangap/internal/feed/feedpb"
+	"toucangap/internal/follow"
+	"toucangap/internal/sighting"
+)
+
+func TestSightingsKeepTheirFields(t *testing.T) {
+	list := []sighting.Sighting{{Endpoint: 7, Answers: 8, Failed: 2.5}}
+	require.Equal(t, list, decodeSightings(encodeSightings(list)))
+	require.Empty(t, encodeSightings(nil))
+}
+
+// TestImpossibleSightingsAreLeftOut: a peer's figures that can't be counts must
+// not reach the choice of endpoints.
+func TestImpossibleSightingsAreLeftOut(t *testing.T) {
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	require.Empty(t, decodeSightings([]*feedpb.Sighting{
+		{Token: 1, Answers: nan, Failed: 1}, {Token: 1, Answers: 1, Failed: nan},
+		{Token: 1, Answers: 1, Failed: 2}, {Token: 1, Answers: 1, Failed: -1},
+		{Token: 1, Answers: 1}, {Token: 1, Answers: inf, Failed: inf},
+	}))
+}
+
+// boardExchange is an exchange in which no time passes.
+type boardExchange struct{ *sighting.Board }
+
+func (b boardExchange) Told(host string, list []sighting.Sighting) { b.Put(0, host, list) }
+
+func (b boardExchange) Tell(host string) []sighting.Sighting { return b.Others(0, host) }
+
+// TestOnlyProvenHostsOfTheDomainExchange: both sides hear of each other's
+// sightings at once, a stranger or a host of another domain tells and hears
+// nothing.
+func TestOnlyProvenHostsOfTheDomainExchange(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		domain string
+		proven bool
+		want   bool
+	}{
+		{"host of the domain", "here", true, true},
+		{"host of another domain", "there", true, false},
+		{"stranger", "here", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server, client := boardExchange{sighting.NewBoard()}, boardExchange{sighting.NewBoard()}
+			server.Put(0, "peer", []sighting.Sighting{{Endpoint: 1, Answers: 2, Failed: 1}})
+			client.Put(0, "me", []sighting.Sighting{{Endpoint: 2, Answers: 4, Failed: 3}})
+			source := newSource(0)
+			peer := serveWith(t, &Server{Domain: "here", Source: source, Exchange: server, Awake: clockAt(0)})
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			news := 0
+			f := Client{
+				Host: "me", Domain: c.domain, Interval: 10 * time.Millisecond, Silence: 5 * time.Second, MaxAge: time.Minute,
+				Awake: clockAt(0), Connected: func() {}, Exchange: client,
+				Take: func(follow.Batch) {
+					if news++; news == 5 {
+						cancel()
+					}
+				},
+			}
+			if c.proven {
+				f.Secret = source.secret
+			}
+			_ = f.Follow(ctx, peer)
+			require.Equal(t, 5, news)
+			require.Equal(t, c.want, len(server.Others(0, "peer")) > 0, "the server heard")
+			require.Equal(t, c.want, len(client.Others(0, "me")) > 0, "the client heard")
+		})
+	}
+}
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -64,7 +64,7 @@
 		r.reject(now, p, s.Acknowledgement, RejectNoEndpoint)
 		return
 	}
-	p.Choice = r.options.Choose(balance.Request{Now: now, Hash: hash, Domain: r.options.Domain}, &sv.seen, sv.candidates)
+	p.Choice = r.options.Choose(balance.Request{Now: now, Hash: hash, Domain: r.options.Domain, FailureCost: route.Timeout}, &sv.seen, sv.candidates)
 	p.Endpoint = p.Choice.Endpoint.Entry
 	if !r.options.Without.Admission && !balance.Admit(route, p.Choice.Expected) {
 		r.reject(now, p, s.Acknowledgement, RejectOverload)
@@ -120,10 +120,11 @@
 	p.Waited = now - f.begun
 	if f.tries < maxTries && !r.options.Without.SendingOn {
 		p.Choice = r.options.Choose(balance.Request{
-			Now:    now,
-			Hash:   f.key.Hash(),
-			Domain: r.options.Domain,
-			Tried:  f.candidatesTried(),
+			Now:         now,
+			Hash:        f.key.Hash(),
+			Domain:      r.options.Domain,
+			FailureCost: f.timeout,
+			Tried:       f.candidatesTried(),
 		}, &f.service.seen, f.service.candidates)
 	}
 	if p.Choice.Endpoint == nil {
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -61,10 +61,16 @@
 	// of its data.
 	acknowledged uint32
 	sent         uint32
+	// answerFrom is where the last request's answer begins; measured tells that
+	// it is known.
+	answerFrom uint32
+	measured   bool
 
 	// waiting tells that a request had no answer yet.
 	waiting   bool
 	requestAt time.Duration
+	// overdue tells that the request that is waited for has been counted as failed.
+	overdue bool
 	// adopted tells that another host forwarded the first packet.
 	adopted bool
 	// cut tells that the host has reset the flow.
--- a/internal/relay/later.go
+++ b/internal/relay/later.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"toucangap/internal/balance"
+	"toucangap/internal/catalog"
 	"toucangap/internal/segment"
 )
 
@@ -111,6 +112,7 @@
 	}
 	f.state = stateOpen
 	f.acknowledged = s.Acknowledgement
+	f.answerFrom, f.measured = s.Acknowledgement, true
 	took := now - f.sentAt
 	if f.tries == 1 && winner == f.tried[0] {
 		r.patience.add(took)
@@ -154,9 +156,17 @@
 		}
 	}
 	if s.DataBytes > 0 && segment.After(s.End(), f.sent) {
+		if !f.waiting {
+			r.judge(now, f)
+			f.answerFrom, f.measured = f.acknowledged, true
+		}
 		f.sent = s.End()
 		f.requestAt = now
-		f.setWaiting(true)
+		if !f.waiting {
+			f.overdue = false
+			f.setWaiting(true)
+			r.schedule(f, min(f.due, now+f.service.seen.Overdue()))
+		}
 	}
 	return advanced
 }
@@ -168,6 +178,35 @@
 	r.options.Observer.Answered(took)
 }
 
+// judge takes the size of the last answer, which the caller has taken whole.
+func (r *Relay) judge(now time.Duration, f *flow) {
+	if !f.measured || f.overdue || f.acknowledged == f.answerFrom {
+		return
+	}
+	small := r.sizesOf(f.key.Service).Undersized(f.acknowledged - f.answerFrom)
+	r.judged(now, f, small)
+	f.measured = false
+}
+
+// judged takes how a request of the flow has ended.
+func (r *Relay) judged(now time.Duration, f *flow, failed bool) {
+	f.endpoint.Judged(now, failed, &f.service.seen)
+	if failed {
+		r.stats.Failed++
+	}
+	r.noteTurn(now, f.endpoint)
+}
+
+// sizesOf returns what is known of the sizes of a route's answers.
+func (r *Relay) sizesOf(route catalog.Address) *balance.Sizes {
+	sizes := r.sizes[route]
+	if sizes == nil {
+		sizes = new(balance.Sizes)
+		r.sizes[route] = sizes
+	}
+	return sizes
+}
+
 // late takes a packet of a flow that has ended, such as a repeated FIN. Where
 // the host has ended the flow, its reset may have been lost.
 func (r *Relay) late(now time.Duration, f *flow, s segment.Segment, frame []byte) {
@@ -217,6 +256,9 @@
 	if s.Reset {
 		cause = "reset"
 	}
+	if s.Fin && !f.waiting {
+		r.judge(now, f)
+	}
 	r.options.Observer.Ended(now, r.ending(now, f, cause))
 	if f.waiting && now-f.requestAt > f.target {
 		r.abandoned(now, f)
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -100,6 +100,9 @@
 	// Suspected: an endpoint left a first packet without a reaction.
 	Suspected(now time.Duration, f catalog.Flow, e *balance.Endpoint, waited time.Duration)
 	Recovered(now time.Duration, e *balance.Endpoint)
+	// Turned: an endpoint began or ceased to fail requests; share is the part of
+	// them that it fails beyond its service's usual.
+	Turned(now time.Duration, e *balance.Endpoint, failing bool, share float64)
 	// Accepted and Answered are times for histograms.
 	Accepted(took time.Duration)
 	Answered(took time.Duration)
@@ -116,6 +119,8 @@
 	Evicted    int64
 	Repeated   int64
 	Unanswered int64
+	// Failed counts requests that had no answer, or one far smaller than usual.
+	Failed     int64
 	Drops      [dropReasons]int64
 	Rejections [rejections]int64
 	// Flows is the number of flows that are kept now.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
 	"toucangap/internal/segment"
+	"toucangap/internal/sighting"
 )
 
 // Output takes what the relay sends.
@@ -66,6 +67,10 @@
 	endpoints map[catalog.Token]*balance.Endpoint
 	services  map[string]*service
 	history   history
+	// sizes are those of answers by route; routes that are gone are dropped.
+	sizes map[catalog.Address]*balance.Sizes
+	// heard is what other hosts have told last.
+	heard []sighting.Sighting
 
 	flows    map[catalog.Flow]*flow
 	timers   timerHeap
@@ -92,6 +97,7 @@
 		endpoints: make(map[catalog.Token]*balance.Endpoint),
 		services:  make(map[string]*service),
 		history:   newHistory(now, o.FlowLifetime),
+		sizes:     make(map[catalog.Address]*balance.Sizes),
 		flows:     make(map[catalog.Flow]*flow),
 		patience:  newPatience(),
 	}
@@ -103,6 +109,11 @@
 	r.history.update(now, v)
 	r.takeEndpoints(v)
 	r.takeServices(v)
+	for route := range r.sizes {
+		if v.Route(route) == nil {
+			delete(r.sizes, route)
+		}
+	}
 }
 
 // takeEndpoints enters new endpoints and drops those that the view has
@@ -198,6 +209,9 @@
 	return open
 }
 
+// Failed returns the number of requests that failed so far, as Stats does.
+func (r *Relay) Failed() int64 { return r.stats.Failed }
+
 // Stats returns the counters.
 func (r *Relay) Stats() Stats {
 	s := r.stats
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -81,6 +81,10 @@
 
 func (r *rig) Recovered(time.Duration, *balance.Endpoint) { r.note("recovered") }
 
+func (r *rig) Turned(_ time.Duration, _ *balance.Endpoint, failing bool, _ float64) {
+	r.note(fmt.Sprint("failing ", failing))
+}
+
 func (r *rig) Ended(_ time.Duration, e Ending) { r.note("ended " + e.Cause) }
 
 func (r *rig) Dropped(_ time.Duration, _ catalog.Flow, d Drop) {
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -76,6 +76,9 @@
 func (r *Relay) abandoned(now time.Duration, f *flow) {
 	r.stats.Unanswered++
 	f.endpoint.Unanswered(now, now-f.requestAt)
+	if !f.overdue {
+		r.judged(now, f, true)
+	}
 	f.setWaiting(false)
 }
 
@@ -85,6 +88,11 @@
 		// The caller has given up; the endpoint's slot may well be free.
 		r.abandoned(now, f)
 	}
+	overdueAt := f.requestAt + f.service.seen.Overdue()
+	if f.waiting && !f.overdue && now >= overdueAt {
+		f.overdue = true
+		r.judged(now, f, true)
+	}
 	idleAt := f.lastSeen + r.idle()
 	if now >= idleAt || now >= f.begun+r.options.FlowLifetime {
 		r.options.Observer.Ended(now, r.ending(now, f, "idle"))
@@ -92,8 +100,11 @@
 		return
 	}
 	next := idleAt
-	if f.waiting {
+	switch {
+	case f.waiting && f.overdue:
 		next = min(next, f.requestAt+f.timeout)
+	case f.waiting:
+		next = min(next, f.requestAt+f.timeout, overdueAt)
 	}
 	r.schedule(f, max(next, now+time.Millisecond))
 }
--- a/internal/relayd/measures.go
+++ b/internal/relayd/measures.go
@@ -48,6 +48,7 @@
 	set("flows_evicted", s.Evicted)
 	set("first_packets_repeated", s.Repeated)
 	set("requests_unanswered", s.Unanswered)
+	set("requests_failed", s.Failed)
 	for reason, n := range s.Drops {
 		set("packets_dropped_"+relay.Drop(reason).String(), n)
 	}
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -174,6 +174,20 @@
 	}
 }
 
+// Turned implements relay.Observer.
+func (o *observer) Turned(now time.Duration, e *balance.Endpoint, failing bool, share float64) {
+	if !o.allows(now, o.noteworthy) {
+		return
+	}
+	id := event.EndpointWell
+	if failing {
+		id = event.EndpointFailing
+	}
+	record := e.Record(now)
+	event.Log(o.logger, id, slog.String("endpoint", e.Entry.ID), slog.Float64("share", share),
+		slog.Float64("answers", record.Answers), slog.Float64("failed", record.Failed))
+}
+
 // Accepted implements relay.Observer.
 func (o *observer) Accepted(took time.Duration) { o.accept.Update(took.Microseconds()) }
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -23,6 +23,7 @@
 	"toucangap/internal/logbuf"
 	"toucangap/internal/relay"
 	"toucangap/internal/settings"
+	"toucangap/internal/sighting"
 	"toucangap/platform"
 )
 
@@ -51,6 +52,7 @@
 	traffic  *traffic
 	ready    *readiness
 	announce *announcer
+	exchange *exchange
 	registry metrics.Registry
 
 	readyListener net.Listener
@@ -106,6 +108,7 @@
 		Observer:     d.traffic.observer,
 	}, d.clock.Steady())
 	d.control.published = d.traffic.wake
+	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, board: sighting.NewBoard()}
 	if d.readyListener, err = listenTCP(d.settings.Listen.Ready); err != nil {
 		return err
 	}
@@ -157,6 +160,7 @@
 	part(func() error { return d.feedServer().Serve(ctx, d.feedListener) })
 	part(func() error { return d.traffic.run() })
 	go d.source().run(ctx)
+	go d.exchange.run(ctx)
 	go d.register(ctx)
 	<-ctx.Done()
 	d.traffic.stop()
@@ -170,18 +174,26 @@
 }
 
 func (d *Daemon) feedServer() *feed.Server {
-	return &feed.Server{Source: d.control, Logger: d.logger, Silence: d.pace.Silence, Awake: d.clock.Awake}
+	return &feed.Server{
+		Domain:   d.settings.Domain,
+		Source:   d.control,
+		Exchange: d.exchange,
+		Logger:   d.logger,
+		Silence:  d.pace.Silence,
+		Awake:    d.clock.Awake,
+	}
 }
 
 func (d *Daemon) source() *source {
 	s := &source{
-		host:    d.announce.host,
-		seeds:   d.settings.Seeds,
-		clock:   d.clock,
-		control: d.control,
-		pace:    d.pace,
-		logger:  d.logger,
-		rested:  make(map[string]time.Duration),
+		host:     d.announce.host,
+		seeds:    d.settings.Seeds,
+		clock:    d.clock,
+		control:  d.control,
+		exchange: d.exchange,
+		pace:     d.pace,
+		logger:   d.logger,
+		rested:   make(map[string]time.Duration),
 	}
 	s.follower = &follow.Follower{
 		Store:  d.store,
--- a/internal/relayd/source.go
+++ b/internal/relayd/source.go
@@ -23,6 +23,7 @@
 	seeds    []netip.AddrPort
 	clock    *clock
 	control  *control
+	exchange *exchange
 	follower *follow.Follower
 	pace     follow.Pace
 	logger   *slog.Logger
@@ -137,6 +138,7 @@
 func (s *source) follow(ctx context.Context, peer follow.Host, limited context.Context) (useful bool) {
 	client := feed.Client{
 		Host:     s.host.Name,
+		Domain:   s.host.Domain,
 		Secret:   s.control.Secret(ctx),
 		Revision: s.control.revision(ctx),
 		Interval: s.pace.Ping,
@@ -152,6 +154,9 @@
 			s.follower.Resume(b.Revision)
 		},
 	}
+	if peer.Domain == s.host.Domain && len(client.Secret) > 0 {
+		client.Exchange = s.exchange
+	}
 	err := client.Follow(limited, peer)
 	event.Log(s.logger, event.FeedLost, slog.String("host", peer.Name), slog.String("error", err.Error()),
 		slog.Duration("view_age", s.control.age()))
--- a/internal/relayd/traffic.go
+++ b/internal/relayd/traffic.go
@@ -59,6 +59,10 @@
 	lastSlept time.Duration
 	// lastPacket is when a packet came last, in nanoseconds of the steady clock.
 	lastPacket atomic.Int64
+	// failures tells that requests have failed since it was last cleared, and
+	// lastFailed is their number as seen by look.
+	failures   atomic.Bool
+	lastFailed int64
 	malformed  atomic.Int64
 	sendErrors atomic.Int64
 	reset      []byte
@@ -142,6 +146,10 @@
 		t.checkPause(now)
 	}
 	t.lastLook = now
+	if failed := t.relay.Failed(); failed != t.lastFailed {
+		t.lastFailed = failed
+		t.failures.Store(true)
+	}
 	if v := t.control.view.Load(); v != t.view {
 		t.view = v
 		t.relay.SetView(now, v)
--- a/standin/emu/baseline.go
+++ b/standin/emu/baseline.go
@@ -22,3 +22,9 @@
 	c.Endpoint = all[(r.Hash+uint64(len(r.Tried)))%uint64(len(all))]
 	return c
 }
+
+// WithoutFailures is the present rule without what failed requests cost.
+func WithoutFailures(r balance.Request, s *balance.Service, candidates []*balance.Endpoint) balance.Choice {
+	r.FailureCost = 0
+	return balance.Choose(r, s, candidates)
+}
--- a/standin/emu/emu.go
+++ b/standin/emu/emu.go
@@ -52,6 +52,8 @@
 	Loss float64
 	// Retries is how often a caller tries again.
 	Retries int
+	// Exchange makes the hosts of a domain tell each other of endpoints.
+	Exchange bool
 	// Options change the relays; the domain and the output are set here.
 	Options relay.Options
 }
@@ -156,6 +158,9 @@
 // Run plays the load for the span and then until nothing is open any more.
 func (w *World) Run(span time.Duration) *Result {
 	w.stopAt = w.now + span
+	if w.Config.Exchange {
+		w.exchange()
+	}
 	for i := range w.Config.Classes {
 		w.arrive(&w.Config.Classes[i])
 	}
--- a/standin/emu/emu_test.go
+++ b/standin/emu/emu_test.go
@@ -104,6 +104,60 @@
 	require.Less(t, 4*r.Total().Failed, random.Total().Failed)
 }
 
+// erring makes three endpoints answer part of their requests with errors.
+func erring(w *World) {
+	w.At(time.Second, func() {
+		for _, e := range w.Endpoints("alerts")[:3] {
+			e.Errs = 128
+		}
+	})
+}
+
+// TestErringEndpoints plays endpoints that answer half of their requests at once
+// with a short error. They look fast and free, and would get more than their
+// share; requests that must run once can't be tried again.
+func TestErringEndpoints(t *testing.T) {
+	r := play(1, relay.Options{}, 6*time.Second, erring)
+	blind := play(1, relay.Options{Choose: WithoutFailures}, 6*time.Second, erring)
+	t.Logf("worth %.4f, failed %d; without failures %.4f, %d",
+		r.Total().Share(), r.Total().Failed, blind.Total().Share(), blind.Total().Failed)
+	require.Empty(t, r.Violations())
+	require.Less(t, 5*r.Total().Failed, blind.Total().Failed)
+	require.Greater(t, r.Total().Share(), 0.98)
+}
+
+// TestHostsTellOfErringEndpoints spreads the same load over many hosts, each of
+// which sees few requests of an endpoint: they find out together.
+func TestHostsTellOfErringEndpoints(t *testing.T) {
+	play := func(exchange bool) *Result {
+		c := Default(2)
+		c.Hosts, c.Exchange = 8, exchange
+		w := New(c)
+		erring(w)
+		return w.Run(6 * time.Second)
+	}
+	with, without := play(true), play(false)
+	t.Logf("failed %d, each for itself %d", with.Total().Failed, without.Total().Failed)
+	require.Empty(t, with.Violations())
+	require.Less(t, 2*with.Total().Failed, without.Total().Failed)
+}
+
+// TestAllEndpointsErr: when all endpoints fail alike none is passed over.
+func TestAllEndpointsErr(t *testing.T) {
+	r := play(1, relay.Options{}, 4*time.Second, func(w *World) {
+		for _, e := range w.Endpoints("alerts") {
+			e.Errs = 40
+		}
+	})
+	blind := play(1, relay.Options{Choose: WithoutFailures}, 4*time.Second, func(w *World) {
+		for _, e := range w.Endpoints("alerts") {
+			e.Errs = 40
+		}
+	})
+	require.Empty(t, r.Violations())
+	require.InDelta(t, blind.Total().Share(), r.Total().Share(), 0.02)
+}
+
 // TestCrowd plays five times the load for 1.5 s: what can't be answered in time is
 // rejected, the urgent class is served more of its share than the others, and a
 // second after the crowd everything is as before.
@@ -150,15 +204,22 @@
 	require.Equal(t, r.Total().Asked, r.Total().InTarget)
 }
 
-// randomFaults mixes faults of all kinds, overlapping and repeated.
-func randomFaults(w *World, rng *rand.Rand) {
+// allKinds is the number of kinds of faults, firstKinds that of those which
+// former failures were drawn from.
+const (
+	firstKinds = 9
+	allKinds   = 10
+)
+
+// randomFaults mixes faults of the first kinds, overlapping and repeated.
+func randomFaults(w *World, rng *rand.Rand, kinds int) {
 	w.Config.Loss = []float64{0, 0.001, 0.01}[rng.IntN(3)]
 	span := func(most int) time.Duration { return time.Duration(rng.IntN(most)+1) * time.Millisecond }
 	for range rng.IntN(12) + 3 {
 		at := span(6000)
 		h := w.Hosts()[rng.IntN(len(w.Hosts()))]
 		e := w.endpoints[rng.IntN(len(w.endpoints))]
-		switch rng.IntN(9) {
+		switch rng.IntN(kinds) {
 		case 0:
 			w.At(at, func() { h.Kill(span(1500)) })
 		case 1:
@@ -177,17 +238,19 @@
 			w.At(at, func() { w.Rate(0.5 + rng.Float64()*4) })
 		case 8:
 			w.At(at, func() { w.AddEndpoint(Group{e.Service, 1, 2, 8}, e.domain) })
+		case 9:
+			w.At(at, func() { e.Errs = uint8(rng.IntN(200)) })
 		}
 	}
 }
 
-func playRandom(seed uint64, options relay.Options) *Result {
+func playRandom(seed uint64, kinds int) *Result {
 	c := Default(seed)
 	rng := rand.New(rand.NewPCG(seed, 2))
 	c.Hosts = 1 + rng.IntN(3)
-	c.Options = options
+	c.Exchange = kinds == allKinds
 	w := New(c)
-	randomFaults(w, rng)
+	randomFaults(w, rng, kinds)
 	return w.Run(6 * time.Second)
 }
 
@@ -197,7 +260,7 @@
 	for i := range uint64(*schedules) {
 		seed := *firstSeed + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			r := playRandom(seed, relay.Options{})
+			r := playRandom(seed, allKinds)
 			require.Empty(t, r.Violations())
 		})
 	}
@@ -215,7 +278,7 @@
 func TestFormerFailures(t *testing.T) {
 	for seed, cause := range formerFailures {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			require.Empty(t, playRandom(seed, relay.Options{}).Violations(), cause)
+			require.Empty(t, playRandom(seed, firstKinds).Violations(), cause)
 		})
 	}
 }
--- a/standin/emu/host.go
+++ b/standin/emu/host.go
@@ -301,5 +301,6 @@
 }
 func (Quiet) Suspected(time.Duration, catalog.Flow, *balance.Endpoint, time.Duration) {}
 func (Quiet) Recovered(time.Duration, *balance.Endpoint)                              {}
+func (Quiet) Turned(time.Duration, *balance.Endpoint, bool, float64)                  {}
 func (Quiet) Accepted(time.Duration)                                                  {}
 func (Quiet) Answered(time.Duration)                                                  {}
--- a/standin/ends/caller.go
+++ b/standin/ends/caller.go
@@ -18,6 +18,8 @@
 	Answered
 	// NotRun is the endpoint's word that the request did not run.
 	NotRun
+	// Failed: the endpoint's answer is an error.
+	Failed
 	// NeverOpened: no acceptance, or a reset before one.
 	NeverOpened
 	// Broken: reset or given up after the flow was open.
@@ -28,7 +30,7 @@
 
 // String names the outcome.
 func (o Outcome) String() string {
-	return [...]string{"pending", "answered", "not run", "never opened", "broken", "wrong"}[o]
+	return [...]string{"pending", "answered", "not run", "failed", "never opened", "broken", "wrong"}[o]
 }
 
 // closingTries bounds the repetitions of a closing packet.
@@ -134,6 +136,8 @@
 		return nil
 	case kind == answerNotRun:
 		a.end(NotRun)
+	case kind == answerFailed:
+		a.end(Failed)
 	default:
 		a.end(Answered)
 	}
--- a/standin/ends/endpoint.go
+++ b/standin/ends/endpoint.go
@@ -46,6 +46,9 @@
 	Down bool
 	// Fails is the share of requests, in 256ths, that are not answered, by id.
 	Fails uint8
+	// Errs is the share of requests, in 256ths, that are answered at once with an
+	// error, by id.
+	Errs uint8
 	// LeavesAt is when flows must no longer begin here; 0 for never.
 	LeavesAt time.Duration
 
@@ -69,6 +72,9 @@
 	doneAt  time.Duration
 }
 
+// errorWork is how long an answer with an error takes.
+const errorWork = time.Millisecond
+
 // Load returns the number of requests that run or wait.
 func (e *Endpoint) Load() int { return len(e.running) + len(e.waiting) }
 
@@ -187,6 +193,9 @@
 		}
 		e.Ledger.run(j.request, e.Service)
 		work := j.request.Work
+		if uint8(j.request.ID) < e.Errs {
+			work = min(work, errorWork)
+		}
 		if e.Slow > 0 {
 			work = time.Duration(float64(work) * e.Slow)
 		}
@@ -209,6 +218,11 @@
 		if uint8(j.request.ID) < e.Fails {
 			continue
 		}
+		if uint8(j.request.ID) < e.Errs {
+			j.flow.write(encodeAnswer(answerFailed, j.request.ID, 0))
+			packets = append(packets, j.flow.flush(now)...)
+			continue
+		}
 		j.flow.write(encodeAnswer(answerOK, j.request.ID, j.request.Answer))
 		packets = append(packets, j.flow.flush(now)...)
 	}
--- a/standin/ends/ends.go
+++ b/standin/ends/ends.go
@@ -116,6 +116,8 @@
 const (
 	answerOK     = 1
 	answerNotRun = 2
+	// answerFailed: the request ran, and its answer is an error.
+	answerFailed = 3
 )
 
 // answerHead is the size of an answer's head: kind, length, id.
