Blame no endpoint that a first packet reaches after its caller was refused

An endpoint that has crashed on a running machine answers a first packet with a reset to the caller. The host sees no reaction and sends the packet on; nobody is left to react there either, so that the second and third endpoint became suspect as well. With 10 of 14 suspect the refusing one looked idle and got most flows: 1,288 refused tries in one zone. Ruled out: the store's entries (all hosts had them lapse in time); answers judged by size (no event 8016 before). Change: only the endpoint that a first packet reaches first is suspected; if nobody reacts in the end, that one has failed a request.

--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -51,8 +51,7 @@
 		}
 		return
 	}
-	f.endpoint.Silent(now, f.sentAt)
-	r.options.Observer.Suspected(now, f.key, f.endpoint, now-f.sentAt)
+	r.blame(now, f)
 	f.judged = f.tries
 	r.schedule(f, now+r.patience.wait())
 	if f.firstLength > 0 && f.tries < maxTries {
@@ -60,6 +59,24 @@
 	}
 }
 
+// blame takes what the missing reaction to a first packet says of endpoints. The
+// first one may have refused the flow: its reset goes to the caller, which is
+// not there any more when the packet reaches the next one. So that one is not
+// to blame; and if nobody has reacted in the end, the first one has failed the
+// caller's request.
+func (r *Relay) blame(now time.Duration, f *flow) {
+	if f.tries == 1 {
+		f.endpoint.Silent(now, f.sentAt)
+		r.options.Observer.Suspected(now, f.key, f.endpoint, now-f.sentAt)
+		return
+	}
+	if f.tries == maxTries {
+		f.tried[0].Judged(now, true, &f.service.seen)
+		r.stats.Failed++
+		r.noteTurn(now, f.tried[0])
+	}
+}
+
 // endFlowsOf resets the flows that wait for an endpoint held for dead.
 func (r *Relay) endFlowsOf(now time.Duration, e *balance.Endpoint) {
 	if e.Busy == 0 {
--- a/standin/emu/emu_test.go
+++ b/standin/emu/emu_test.go
@@ -158,6 +158,26 @@
 	require.InDelta(t, blind.Total().Share(), r.Total().Share(), 0.02)
 }
 
+// TestRefusingEndpoints plays endpoints that have crashed on hosts that run: they
+// answer first packets with resets, which end a caller's try at once. Its packet
+// then reaches another endpoint that nobody reacts to any more; that one must not
+// be blamed, or the load of all falls on fewer and fewer.
+func TestRefusingEndpoints(t *testing.T) {
+	for seed := range uint64(4) {
+		r := play(seed, relay.Options{}, 6*time.Second, func(w *World) {
+			w.Rate(1.4)
+			w.At(time.Second, func() {
+				for _, e := range w.Endpoints("alerts")[:4] {
+					e.CrashRefusing(3600*time.Millisecond, 5*time.Second)
+				}
+			})
+		})
+		t.Logf("failed %d of %d", r.Total().Failed, r.Total().Asked)
+		require.Empty(t, r.Violations())
+		require.Less(t, r.Total().Failed, r.Total().Asked/200, "seed %d", seed)
+	}
+}
+
 // TestCrowd plays five times the load for 1.5 s: what can't be answered in time is
 // rejected, the urgent class is served more of its share than the others, and a
 // second after the crowd everything is as before.
--- a/standin/emu/host.go
+++ b/standin/emu/host.go
@@ -217,7 +217,7 @@
 	e.Restart()
 	e.Down = true
 	w.At(w.now+lapse, func() {
-		if e.Down {
+		if e.Down || e.Refuses {
 			w.revision++
 			w.directory.RemoveEndpoint(w.now, e.entry.ID, w.revision)
 			w.publish()
@@ -231,6 +231,14 @@
 	}
 }
 
+// CrashRefusing makes the endpoint forget its flows and answer with resets until
+// it is back; its entry lapses and returns as with Crash.
+func (e *Endpoint) CrashRefusing(lapse, span time.Duration) {
+	e.Crash(lapse, span)
+	e.Down, e.Refuses = false, true
+	e.world.At(e.world.now+span, func() { e.Refuses = false })
+}
+
 // Leave reports that the endpoint is leaving; it goes on serving.
 func (e *Endpoint) Leave(bound time.Duration) {
 	draining := *e.entry
--- a/standin/ends/endpoint.go
+++ b/standin/ends/endpoint.go
@@ -44,6 +44,8 @@
 	// Slow multiplies the work, Down means that nothing is answered.
 	Slow float64
 	Down bool
+	// Refuses means that nothing listens: every packet is answered with a reset.
+	Refuses bool
 	// Fails is the share of requests, in 256ths, that are not answered, by id.
 	Fails uint8
 	// Errs is the share of requests, in 256ths, that are answered at once with an
@@ -108,6 +110,9 @@
 		e.flows = make(map[catalog.Flow]*endpointFlow)
 	}
 	f := e.flows[h.Flow]
+	if e.Refuses && !h.Reset {
+		return [][]byte{e.reset(h)}
+	}
 	if h.Syn {
 		return e.accept(now, f, h)
 	}
