Harm feeds, domains and requests in the fault soak

Cause: the soak harmed no stream between hosts, no endpoint failed part of its requests, and its largest site had 6 hosts. Change: a setting listen.feed_advertised lets a proxy stand before a host's feed. New faults: feeds cut, half cut, reset and slow, a domain cut off, endpoints that answer with errors or not at all, a host killed again while it starts, the hosts of a domain stopped in turn. The check of wrong answers is shown to fail. Clocks are not stepped: hosts decide nothing by the time of day, and other clocks can't be stepped without privileges.

--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -75,7 +75,7 @@
 	d.logger = slog.New(slog.NewTextHandler(d.lines, &slog.HandlerOptions{Level: level}))
 	d.control = newControl(d.clock, d.logger, s.Bounds.FlowLifetime, s.Store.History)
 	d.ready = &readiness{control: d.control, logger: d.logger}
-	host := follow.Host{Name: s.Name, Domain: s.Domain, Feed: s.Listen.Feed}
+	host := follow.Host{Name: s.Name, Domain: s.Domain, Feed: s.Listen.FeedAdvertised}
 	d.announce = &announcer{host: host, store: d.store, control: d.control, logger: d.logger, shortestLease: s.Store.ShortestLease}
 	if err := d.listen(); err != nil {
 		d.lines.Close(logPatience)
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -50,6 +50,8 @@
 	Ready netip.AddrPort
 	// Feed serves other hosts, over TCP.
 	Feed netip.AddrPort
+	// FeedAdvertised is where other hosts reach Feed, if that is another address.
+	FeedAdvertised netip.AddrPort
 	// Admin serves operators' queries and metrics, over HTTP.
 	Admin netip.AddrPort
 }
@@ -131,6 +133,10 @@
 		Feed:    t.Address("feed"),
 		Admin:   t.Address("admin"),
 	}
+	l.FeedAdvertised = l.Feed
+	if t.Has("feed_advertised") {
+		l.FeedAdvertised = t.Address("feed_advertised")
+	}
 	t.RejectUnknown()
 	return l
 }
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -179,6 +179,17 @@
 // SlowDown multiplies the endpoint's work.
 func (e *Endpoint) SlowDown(factor float64) { e.Slow = factor }
 
+// FailRequests makes the endpoint answer a share of its requests, in 256ths, with
+// errors, and leave another share unanswered, for a span.
+func (e *Endpoint) FailRequests(errs, hangs uint8, span time.Duration) {
+	e.Errs, e.Fails = errs, hangs
+	time.AfterFunc(span, func() {
+		e.site.mu.Lock()
+		defer e.site.mu.Unlock()
+		e.Errs, e.Fails = 0, 0
+	})
+}
+
 // HarmLink harms the packets from hosts for a span.
 func (e *Endpoint) HarmLink(h Harm, span time.Duration) {
 	e.harm(span)
--- a/standin/site/host.go
+++ b/standin/site/host.go
@@ -20,9 +20,11 @@
 // Host is one process of the daemon with the links to it.
 type Host struct {
 	Name string
-	// Packets carries callers' packets, Store the calls to the store.
+	// Packets carries callers' packets, Store the calls to the store, Feed the
+	// streams from other hosts.
 	Packets *PacketLink
 	Store   *StreamLink
+	Feed    *StreamLink
 
 	site     *Site
 	domain   int
@@ -59,8 +61,12 @@
 	if err != nil {
 		return err
 	}
+	feed, err := s.newStreamLink(s.feedLink(d, n), at(2))
+	if err != nil {
+		return err
+	}
 	h := &Host{
-		Name: fmt.Sprintf("host-%d-%d", d, n), Packets: packets, Store: store,
+		Name: fmt.Sprintf("host-%d-%d", d, n), Packets: packets, Store: store, Feed: feed,
 		site: s, domain: d, ready: at(1), admin: at(3), rotation: true,
 	}
 	s.hosts = append(s.hosts, h)
@@ -82,6 +88,7 @@
 packets = %q
 ready = %q
 feed = %q
+feed_advertised = %q
 admin = %q
 [store]
 address = %q
@@ -90,15 +97,22 @@
 configuration = %q
 drain = %q
 stop = %q
-`, h.Name, domain(h.domain), h.site.seeds(), packets, ready, feed, admin, h.Store.From, heartbeat, ConfigBound, DrainBound, StopBound)
+`, h.Name, domain(h.domain), h.site.seeds(), packets, ready, feed, h.Feed.From, admin, h.Store.From, heartbeat, ConfigBound, DrainBound, StopBound)
 }
 
-// seeds are the feed addresses of the first host of each domain.
+// feedLink is where other hosts reach the feed of a domain's n-th host.
+func (s *Site) feedLink(d, n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 8, byte(d), byte(n)}), uint16(s.Options.Port)+2)
+}
+
+// mostSeeds is the number of hosts that settings name, as on the platform.
+const mostSeeds = 3
+
+// seeds are the feed addresses of the first host of some domains.
 func (s *Site) seeds() string {
 	var list []string
-	for d := range s.Options.Domains {
-		address := netip.AddrFrom4([4]byte{127, 2, byte(d), byte(d*s.Options.Hosts + 1)})
-		list = append(list, fmt.Sprintf("%q", netip.AddrPortFrom(address, uint16(s.Options.Port)+2)))
+	for d := range min(s.Options.Domains, mostSeeds) {
+		list = append(list, fmt.Sprintf("%q", s.feedLink(d, d*s.Options.Hosts+1)))
 	}
 	return strings.Join(list, ", ")
 }
@@ -241,6 +255,9 @@
 	return resident * int64(os.Getpagesize()), len(entries)
 }
 
+// Domain returns the number of the host's failure domain.
+func (h *Host) Domain() int { return h.domain }
+
 // Admin returns the address of the operators' listener.
 func (h *Host) Admin() netip.AddrPort { return h.admin }
 
@@ -256,6 +273,7 @@
 	}
 	h.Packets.close()
 	h.Store.close()
+	h.Feed.close()
 }
 
 // probe asks all hosts whether they are ready, as routers do.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -5,7 +5,8 @@
 //
 // Addresses: callers have 127.1.D.N, hosts 127.2.D.N, endpoints 127.3.0.N, all
 // at one port for packets, as the platform has it; proxies have 127.5 (packets
-// to hosts), 127.6 (packets to endpoints) and 127.7 (the store).
+// to hosts), 127.6 (packets to endpoints), 127.7 (the store) and 127.8 (feeds
+// between hosts).
 package site
 
 import (
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -76,6 +76,51 @@
 			h.Signal(syscall.SIGKILL)
 		}
 	}},
+	{"feed-cut", true, feedFault(site.Harm{CutUp: true, CutDown: true})},
+	{"feed-half-cut", true, feedFault(site.Harm{CutDown: true})},
+	{"feed-reset", true, feedFault(site.Harm{Reset: true, Refuse: true})},
+	{"feed-slow-link", true, func(s *site.Site, f Fault) {
+		host(s, f).Feed.Set(site.Harm{Delay: time.Duration(f.Level) * 10 * time.Millisecond}, f.Span)
+	}},
+	{"domain-cut", true, cutDomain},
+	{"endpoint-errs", false, endpointFault(func(e *site.Endpoint, f Fault) { e.FailRequests(uint8(f.Level), 0, f.Span) })},
+	{"endpoint-hangs", false, endpointFault(func(e *site.Endpoint, f Fault) { e.FailRequests(0, uint8(f.Level), f.Span) })},
+	{"kill-again", true, killAgain},
+	{"stop-all-in-turn", false, stopInTurn},
+}
+
+// feedFault harms the streams from other hosts to a host.
+func feedFault(h site.Harm) func(*site.Site, Fault) {
+	return func(s *site.Site, f Fault) { host(s, f).Feed.Set(h, f.Span) }
+}
+
+// cutDomain cuts the hosts of a domain off from the store and from the hosts of
+// all domains; callers and endpoints still reach them.
+func cutDomain(s *site.Site, f Fault) {
+	cut := site.Harm{CutUp: true, CutDown: true}
+	for _, h := range s.Hosts() {
+		if h.Domain() == f.Target%s.Options.Domains {
+			h.Store.Set(cut, f.Span)
+			h.Feed.Set(cut, f.Span)
+		}
+	}
+}
+
+// killAgain kills a host several times, also while it starts.
+func killAgain(s *site.Site, f Fault) {
+	h := host(s, f)
+	for i := range 2 + f.Level/25 {
+		time.AfterFunc(time.Duration(i)*(100+time.Duration(f.Level))*time.Millisecond, func() { h.Signal(syscall.SIGKILL) })
+	}
+}
+
+// stopInTurn stops the hosts of a domain one after the other.
+func stopInTurn(s *site.Site, f Fault) {
+	for i, h := range s.Hosts() {
+		if h.Domain() == f.Target%s.Options.Domains {
+			time.AfterFunc(time.Duration(i)*500*time.Millisecond, func() { stopHost(s, Fault{Target: i}) })
+		}
+	}
 }
 
 func find(name string) kind {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"toucangap/internal/catalog"
+	"toucangap/internal/segment"
 	"toucangap/platform"
 	"toucangap/standin/site"
 )
@@ -146,7 +148,22 @@
 // TestResetAtLivingEndpoint: a reset of an open flow in a host's name is
 // noticed.
 func TestResetAtLivingEndpoint(t *testing.T) {
-	s, _ := newSite(t, 18440)
+	s := forge(t, 18440, func(f catalog.Flow) []byte { return platform.AppendReset(nil, f, 0) })
+	requireViolation(t, s, "open flow reset at a living endpoint")
+}
+
+// TestWrongAnswer: a packet that no endpoint wrote is noticed at its caller.
+func TestWrongAnswer(t *testing.T) {
+	s := forge(t, 18480, func(f catalog.Flow) []byte {
+		back := catalog.Flow{Caller: f.Service, Service: f.Caller}
+		return platform.Append(nil, segment.Segment{Flow: back, Ack: true, Sum: 1}, []byte("no answer"))
+	})
+	requireViolation(t, s, "wrong answer or forged packet")
+}
+
+// forge sends a packet on an open flow to its caller and waits for a violation.
+func forge(t *testing.T, port int, packet func(catalog.Flow) []byte) *site.Site {
+	s, _ := newSite(t, port)
 	s.Endpoints(func(e *site.Endpoint) { e.SlowDown(100) })
 	s.Load(true)
 	var flow catalog.Flow
@@ -155,15 +172,15 @@
 		flow = found
 		return ok
 	}, 10*time.Second, 5*time.Millisecond)
-	conn, err := net.Dial("udp4", net.JoinHostPort(flow.Caller.AddrPort().Addr().String(), "18440"))
+	conn, err := net.Dial("udp4", net.JoinHostPort(flow.Caller.AddrPort().Addr().String(), strconv.Itoa(port)))
 	require.NoError(t, err)
 	defer conn.Close()
-	_, err = conn.Write(platform.AppendReset(nil, flow, 0))
+	_, err = conn.Write(packet(flow))
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
 		return len(s.Violations()) > 0
 	}, 10*time.Second, 5*time.Millisecond)
-	requireViolation(t, s, "open flow reset at a living endpoint")
+	return s
 }
 
 // TestSchedulesRepeat: a seed makes one schedule.
