Let hosts that were behind start anew, and reject nothing at a free slot

Its usual time to answer had grown beyond the timeouts, so that it rejected everything, got no new answers and could not learn better; and flows of callers that had gone counted as load (80 waiting at one endpoint). Ruled out: a backlog in the socket after the slow time (traced: longest wait 1.1 ms); readiness (routers had left the host by then). Change: a request is rejected for its queue only; a flow that nobody reacts to in three tries is no load; a host that finds packets waiting for 250 ms judges nothing meanwhile, starts anew when it has caught up, and leaves the rotation while others can serve (events 8018, 8019).

Also: seeds are asked one after the other and only while the store is silent, and a listing goes on after a lost page. Cause: at 300 hosts every start fetched the whole state from three seeds.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -168,12 +168,13 @@
 	return e.Dead() && e.lastLeft > alive
 }
 
-// Forgive drops all suspicion, after a time in which the host itself could not
-// have heard anything.
+// Forgive drops what is known of the endpoint's behaviour, after a time in which
+// the host itself could not have heard anything, or for another process.
 func (e *Endpoint) Forgive() {
 	e.unanswered, e.left = 0, 0
 	e.trial = false
 	e.own, e.heard = Tally{}, Tally{}
+	e.answer = average{}
 }
 
 // Expected returns how long an answer of the endpoint to one more request is
@@ -188,12 +189,15 @@
 	return work + e.wait(work)
 }
 
+// Free reports whether a slot is free, as far as this host knows.
+func (e *Endpoint) Free() bool { return e.Busy < max(e.Entry.Slots, 1) }
+
 // wait returns the expected time until a slot is free.
 func (e *Endpoint) wait(work time.Duration) time.Duration {
-	slots := max(e.Entry.Slots, 1)
-	if e.Busy < slots {
+	if e.Free() {
 		return 0
 	}
+	slots := max(e.Entry.Slots, 1)
 	ahead := e.Busy - slots + 1
 	return work * time.Duration(ahead) / time.Duration(slots)
 }
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -22,6 +22,8 @@
 	StopWaits
 	EndpointFailing
 	EndpointWell
+	HostBehind
+	HostCaughtUp
 )
 
 var relayArea = Area{
@@ -38,13 +40,15 @@
 		{EndpointRecovered, slog.LevelInfo, "endpoint reacts again", "None."},
 		{LinesSuppressed, slog.LevelWarn, "log lines left out", "None; the counters on the metrics address are complete."},
 		{RelayReady, slog.LevelInfo, "ready for callers", "None."},
-		{RelayUnready, slog.LevelWarn, "not ready for callers", "See the reason: no configuration, no endpoint, or a planned stop."},
+		{RelayUnready, slog.LevelWarn, "not ready for callers", "See the reason: no configuration, no endpoint, behind (event 8018), or a planned stop."},
 		{SettingsReloaded, slog.LevelInfo, "settings read again", "None; a change of addresses takes a restart."},
 		{SettingsRefused, slog.LevelError, "changed settings refused", "Mend the file; the former settings stay in force."},
 		{SendFailed, slog.LevelWarn, "datagram not sent", "Look at the network interface and the link's load."},
 		{StopWaits, slog.LevelInfo, "planned stop waits for another host of the domain", "None; stop the hosts of a domain one at a time."},
 		{EndpointFailing, slog.LevelWarn, "endpoint fails requests", "Look at the endpoint; its answers are missing or far smaller than the route's usual ones."},
 		{EndpointWell, slog.LevelInfo, "endpoint fails no more requests", "None."},
+		{HostBehind, slog.LevelWarn, "host can't keep up with its packets", "Look at the host's processor; it leaves the rotation while others can serve."},
+		{HostCaughtUp, slog.LevelInfo, "host keeps up with its packets again", "None."},
 	},
 }
 
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -35,10 +36,14 @@
 	Take func(Batch)
 
 	// cursor is where the next watch goes on; 0 means that a listing is due.
-	cursor  uint64
+	cursor uint64
+	// begun is a listing of which pages are missing.
+	begun   *listing
 	backoff Backoff
-	lostAt  time.Duration
-	lost    bool
+	// answeredAt is when the store answered last.
+	answeredAt atomic.Int64
+	lostAt     time.Duration
+	lost       bool
 }
 
 // Resume makes the next step go on from the revision, which another source has
@@ -104,34 +109,57 @@
 	return true
 }
 
+// listing is a listing of which some pages have been read.
+type listing struct {
+	batch Batch
+	// after is the last key that was read.
+	after string
+}
+
+// listingLife is how long a listing is gone on with after a page has failed.
+// What changed meanwhile has to be in the store's history still.
+const listingLife = 5 * time.Second
+
 // list reads all keys. The pages are no snapshot: the batch is complete up to
-// the first page's revision, and the watch goes on from there.
+// the first page's revision, and the watch goes on from there. When many hosts
+// start at once the store turns some of their calls away; a listing that has
+// lost a page goes on with it at the next step.
 func (f *Follower) list(ctx context.Context) error {
-	batch := Batch{Complete: true, Proven: f.Awake()}
-	after := ""
+	if f.begun == nil || f.Awake()-f.begun.batch.Proven > listingLife {
+		f.begun = &listing{batch: Batch{Complete: true, Proven: f.Awake()}}
+	}
+	l := f.begun
 	for range maxPages {
-		page, err := f.page(ctx, after)
+		page, err := f.page(ctx, l.after)
 		if err != nil {
 			return err
 		}
-		if batch.Revision == 0 {
-			batch.Revision = page.Revision
+		f.answeredAt.Store(int64(f.Awake()))
+		if l.batch.Revision == 0 {
+			l.batch.Revision = page.Revision
 		}
 		for _, item := range page.Items {
-			batch.Changes = append(batch.Changes, platform.Change{Item: item})
-			after = item.Key
+			l.batch.Changes = append(l.batch.Changes, platform.Change{Item: item})
+			l.after = item.Key
 		}
 		if !page.More || len(page.Items) == 0 {
-			f.cursor = batch.Revision
-			batch.Regained = f.regained()
-			event.Log(f.Logger, event.StoreListed, slog.Int("keys", len(batch.Changes)), slog.Uint64("revision", batch.Revision))
-			f.Take(batch)
+			f.begun = nil
+			f.cursor = l.batch.Revision
+			l.batch.Regained = f.regained()
+			event.Log(f.Logger, event.StoreListed, slog.Int("keys", len(l.batch.Changes)), slog.Uint64("revision", l.batch.Revision))
+			f.Take(l.batch)
 			return nil
 		}
 	}
+	f.begun = nil
 	return merry.New("listing does not end")
 }
 
+// Answered returns when the store last answered, on the clock that runs on while
+// the machine sleeps; 0 if it never did. Unlike the other methods it may be
+// called from any goroutine.
+func (f *Follower) Answered() time.Duration { return time.Duration(f.answeredAt.Load()) }
+
 func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Pace.Call)
 	defer cancel()
@@ -149,6 +177,7 @@
 	if err != nil {
 		return err
 	}
+	f.answeredAt.Store(int64(f.Awake()))
 	proven := begun
 	if len(changes.Changes) == 0 {
 		proven = min(begun+wait, f.Awake())
--- a/internal/follow/store_test.go
+++ b/internal/follow/store_test.go
@@ -88,6 +88,26 @@
 	require.Equal(t, 100*time.Second, batches[0].Proven, "proven by the time of the first call")
 }
 
+// TestListingGoesOnAfterALostPage: a page that was turned away is read again
+// alone; after a long pause the listing begins anew.
+func TestListingGoesOnAfterALostPage(t *testing.T) {
+	first := listOf(5, "a", "b")
+	first.page.More = true
+	second := `list "" after "b"`
+	last := platform.Page{Revision: 9, Items: []platform.Item{{Key: "c", Revision: 8}}}
+	batches, waits, _ := play(t, first, step{want: second, err: platform.ErrBusy}, step{want: second, page: last})
+	require.Len(t, batches, 1)
+	require.Len(t, batches[0].Changes, 3)
+	require.Equal(t, uint64(5), batches[0].Revision)
+	require.Equal(t, 100*time.Second, batches[0].Proven)
+	require.Positive(t, waits[0])
+
+	batches, _, _ = play(t, first, step{want: second, takes: listingLife, err: platform.ErrBusy}, listOf(20, "d"))
+	require.Len(t, batches, 1)
+	require.Len(t, batches[0].Changes, 1)
+	require.Equal(t, uint64(20), batches[0].Revision)
+}
+
 // TestProofOfAWatch: an answer without changes proves the whole wait, one with
 // changes only the time of the call; a late answer proves no more.
 func TestProofOfAWatch(t *testing.T) {
--- a/internal/relay/first.go
+++ b/internal/relay/first.go
@@ -66,7 +66,7 @@
 	}
 	p.Choice = r.options.Choose(balance.Request{Now: now, Hash: hash, Domain: r.options.Domain, FailureCost: route.Timeout}, &sv.seen, sv.candidates)
 	p.Endpoint = p.Choice.Endpoint.Entry
-	if !r.options.Without.Admission && !balance.Admit(route, p.Choice.Expected) {
+	if !r.options.Without.Admission && !r.behind && !balance.Admit(route, p.Choice) {
 		r.reject(now, p, s.Acknowledgement, RejectOverload)
 		return
 	}
--- a/internal/relay/first_test.go
+++ b/internal/relay/first_test.go
@@ -159,3 +159,24 @@
 	r.publish()
 	require.False(t, r.relay.Endpoints(r.now)[0].Suspect)
 }
+
+// TestGoneCallersAreNoLoad: flows whose callers have gone before their first
+// packet arrived do not make endpoints look busy for long.
+func TestGoneCallersAreNoLoad(t *testing.T) {
+	r := newRig(t, 3)
+	for port := uint16(1); port < 60; port++ {
+		r.syn(port, 0)
+	}
+	r.take()
+	r.wait(maxTries*firstPatience + 10*ms)
+	for _, e := range r.relay.Endpoints(r.now) {
+		require.Zero(t, e.Busy)
+	}
+	// A caller that was late after all is served, and counts.
+	sent, _ := r.take()
+	require.NotEmpty(t, sent)
+	r.ack(1, "i-1", 5001, 10)
+	require.Equal(t, 1, r.relay.Endpoints(r.now)[0].Busy)
+	r.ack(1, "i-1", 6001, 0)
+	require.Zero(t, r.relay.Endpoints(r.now)[0].Busy)
+}
--- a/internal/relay/later.go
+++ b/internal/relay/later.go
@@ -114,7 +114,7 @@
 	f.acknowledged = s.Acknowledgement
 	f.answerFrom, f.measured = s.Acknowledgement, true
 	took := now - f.sentAt
-	if f.tries == 1 && winner == f.tried[0] {
+	if f.tries == 1 && winner == f.tried[0] && !r.behind {
 		r.patience.add(took)
 		r.options.Observer.Accepted(took)
 	}
@@ -174,7 +174,9 @@
 func (r *Relay) answered(now time.Duration, f *flow) {
 	took := now - f.requestAt
 	f.setWaiting(false)
-	f.endpoint.Answered(now, took, &f.service.seen)
+	if !r.behind {
+		f.endpoint.Answered(now, took, &f.service.seen)
+	}
 	r.options.Observer.Answered(took)
 }
 
@@ -190,6 +192,9 @@
 
 // judged takes how a request of the flow has ended.
 func (r *Relay) judged(now time.Duration, f *flow, failed bool) {
+	if failed && r.behind {
+		return
+	}
 	f.endpoint.Judged(now, failed, &f.service.seen)
 	if failed {
 		r.stats.Failed++
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,6 +72,9 @@
 	// heard is what other hosts have told last.
 	heard []sighting.Sighting
 
+	// behind tells that packets have waited here, so that times and missing
+	// reactions say nothing of endpoints.
+	behind   bool
 	flows    map[catalog.Flow]*flow
 	timers   timerHeap
 	free     []*flow
@@ -185,21 +188,39 @@
 	r.options.Observer.Dropped(now, f, reason)
 }
 
-// Resume takes note that the host has not run for a while: what did not react
-// meanwhile is not to blame for it.
+// Resume takes note that the host has not run for a while or has not kept up: what
+// did not react meanwhile is not to blame for it, times that were measured were
+// its own, and callers that waited have given up or repeat themselves. The host
+// goes on as one that has just started.
 func (r *Relay) Resume(now time.Duration) {
 	for _, e := range r.endpoints {
 		e.Forgive()
 	}
+	for _, s := range r.services {
+		s.seen = balance.Service{}
+	}
+	r.patience = newPatience()
 	for _, f := range r.flows {
-		if f.state == stateOpening {
+		switch f.state {
+		case stateOpening:
 			f.sentAt = now
 			f.due = now + r.patience.wait()
+		case stateOpen:
+			f.setWaiting(false)
 		}
 	}
 	heap.Init(&r.timers)
 }
 
+// Behind takes note that the host can't keep up with its packets, or has caught
+// up.
+func (r *Relay) Behind(now time.Duration, behind bool) {
+	r.behind = behind
+	if !behind {
+		r.Resume(now)
+	}
+}
+
 // OpenFlows returns the number of flows that have not ended.
 func (r *Relay) OpenFlows() int {
 	open := 0
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -74,6 +74,8 @@
 		f.tried[0].Judged(now, true, &f.service.seen)
 		r.stats.Failed++
 		r.noteTurn(now, f.tried[0])
+		// The caller has most likely gone; a later packet of it counts again.
+		f.setWaiting(false)
 	}
 }
 
--- /dev/null
+++ b/internal/relayd/lag_test.go
@@ -0,0 +1,92 @@
+package relayd
+
+import (
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLagTurnsOnce(t *testing.T) {
+	var l lag
+	for _, c := range []struct {
+		now, emptyAt   time.Duration
+		behind, turned bool
+	}{
+		{time.Second, time.Second, false, false},
+		{time.Second + behindFrom - 1, time.Second, false, false},
+		{time.Second + behindFrom, time.Second, true, true},
+		{2 * time.Second, time.Second, true, false},
+		{2 * time.Second, 2 * time.Second, false, true},
+	} {
+		behind, turned := l.look(c.now, c.emptyAt)
+		require.Equal(t, c.behind, behind)
+		require.Equal(t, c.turned, turned)
+	}
+}
+
+// TestRestsGrowLonger plays a host that falls behind whenever it is used.
+func TestRestsGrowLonger(t *testing.T) {
+	var r rest
+	now := time.Duration(0)
+	var rests []time.Duration
+	for range 6 {
+		require.True(t, r.look(now, true))
+		begun := now
+		for r.look(now, false) {
+			now += 100 * time.Millisecond
+		}
+		rests = append(rests, now-begun)
+		now += time.Second
+	}
+	require.Equal(t, []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second, 16 * time.Second, 16 * time.Second}, rests)
+	now += restMemory
+	require.True(t, r.look(now, true))
+	require.False(t, r.look(now+shortestRest, false))
+}
+
+// TestSocketKnowsWhenItWasEmpty: packets that wait have come since the last time
+// that there was none; one that is waited for has waited for nothing.
+func TestSocketKnowsWhenItWasEmpty(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer conn.Close()
+	peer, err := net.Dial("udp4", conn.LocalAddr().String())
+	require.NoError(t, err)
+	defer peer.Close()
+	c := newClock()
+	s, err := newSocket(conn, c)
+	require.NoError(t, err)
+	buffer := make([]byte, 100)
+
+	begun := c.Steady()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Millisecond)))
+	_, err = s.read(buffer)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	empty := s.emptyAt
+	require.GreaterOrEqual(t, empty, begun)
+
+	for _, text := range []string{"a", "bc"} {
+		_, err = peer.Write([]byte(text))
+		require.NoError(t, err)
+	}
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	n, err := s.read(buffer)
+	require.NoError(t, err)
+	require.Equal(t, "a", string(buffer[:n]))
+	first := s.emptyAt
+	n, err = s.read(buffer)
+	require.NoError(t, err)
+	require.Equal(t, "bc", string(buffer[:n]))
+	require.Equal(t, first, s.emptyAt, "the second packet was there already")
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Millisecond)))
+	_, err = s.read(buffer)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Greater(t, s.emptyAt, first)
+
+	require.NoError(t, conn.Close())
+	_, err = s.read(buffer)
+	require.ErrorIs(t, err, net.ErrClosed)
+}
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -194,6 +194,18 @@
 // Answered implements relay.Observer.
 func (o *observer) Answered(took time.Duration) { o.answer.Update(took.Microseconds()) }
 
+// behind reports that the host has fallen behind its packets or caught up.
+func (o *observer) behind(now time.Duration, behind bool, waited time.Duration) {
+	if !o.allows(now, o.noteworthy) {
+		return
+	}
+	id := event.HostCaughtUp
+	if behind {
+		id = event.HostBehind
+	}
+	event.Log(o.logger, id, slog.Duration("waited", waited))
+}
+
 // paused reports that the process stood still.
 func (o *observer) paused(now, gap time.Duration) {
 	if o.allows(now, o.noteworthy) {
--- a/internal/relayd/source.go
+++ b/internal/relayd/source.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
-	"sync"
 	"time"
 
 	"toucangap/internal/event"
@@ -48,26 +48,31 @@
 }
 
 const (
-	// seedPatience is how long a host that starts waits for the store alone; it
-	// answers within some tens of milliseconds.
+	// seedPatience is how long a host that starts waits for the store alone since
+	// its last answer; a page takes some tens of milliseconds. seedStep is how
+	// often that is looked at.
 	seedPatience = 200 * time.Millisecond
-	// seedTime bounds the news of a seed, seedInterval the rate of rounds.
+	seedStep     = 50 * time.Millisecond
+	// seedTime bounds the news of a seed, seedInterval the rate of questions.
 	seedTime     = time.Second
-	seedInterval = 500 * time.Millisecond
+	seedInterval = 300 * time.Millisecond
 )
 
 // bootstrap asks seeds for what they know until there is something to go on:
 // a host that starts behind a cut serves with the knowledge of its neighbours.
+// They are asked one after the other and only while the store is silent: a whole
+// state is large, and many hosts may start at once.
 func (s *source) bootstrap(ctx context.Context) {
-	sleep(ctx, seedPatience)
-	for ctx.Err() == nil && s.control.revision(ctx) == 0 {
-		var asked sync.WaitGroup
-		for _, address := range s.seeds {
-			if address != s.host.Feed {
-				asked.Go(func() { s.askSeed(ctx, address) })
-			}
+	order := rand.Perm(len(s.seeds))
+	for i := 0; ctx.Err() == nil && len(order) > 0 && s.control.revision(ctx) == 0; {
+		if s.clock.Awake()-s.follower.Answered() < seedPatience {
+			sleep(ctx, seedStep)
+			continue
+		}
+		if seed := s.seeds[order[i%len(order)]]; seed != s.host.Feed {
+			go s.askSeed(ctx, seed)
 		}
-		asked.Wait()
+		i++
 		sleep(ctx, seedInterval)
 	}
 }
--- a/internal/relayd/traffic.go
+++ b/internal/relayd/traffic.go
@@ -42,6 +42,8 @@
 type traffic struct {
 	clock    *clock
 	conn     *net.UDPConn
+	socket   *socket
+	lag      lag
 	relay    *relay.Relay
 	control  *control
 	logger   *slog.Logger
@@ -63,6 +65,10 @@
 	// lastFailed is their number as seen by look.
 	failures   atomic.Bool
 	lastFailed int64
+	// behind tells that packets wait for too long, behindAt when that has last
+	// begun or ended, in nanoseconds of the steady clock.
+	behind     atomic.Bool
+	behindAt   atomic.Int64
 	malformed  atomic.Int64
 	sendErrors atomic.Int64
 	reset      []byte
@@ -83,6 +89,10 @@
 // run takes packets until stop.
 func (t *traffic) run() error {
 	frame := make([]byte, platform.IntendedBytes+platform.MaxPacket+1)
+	var err error
+	if t.socket, err = newSocket(t.conn, t.clock); err != nil {
+		return err
+	}
 	t.awaitView()
 	t.lastLook = t.clock.Steady()
 	t.lastCheck, t.lastSlept = t.lastLook, t.clock.Awake()-t.lastLook
@@ -91,7 +101,7 @@
 		if err := t.conn.SetReadDeadline(t.deadline()); err != nil {
 			return merry.Prepend(err, "set a deadline")
 		}
-		n, _, err := t.conn.ReadFromUDPAddrPort(frame[platform.IntendedBytes:])
+		n, err := t.socket.read(frame[platform.IntendedBytes:])
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			n, err = t.readLate(frame)
 		}
@@ -125,8 +135,7 @@
 	if err := t.conn.SetReadDeadline(time.Now().Add(settle)); err != nil {
 		return 0, merry.Prepend(err, "set a deadline")
 	}
-	n, _, err := t.conn.ReadFromUDPAddrPort(frame[platform.IntendedBytes:])
-	return n, err
+	return t.socket.read(frame[platform.IntendedBytes:])
 }
 
 // deadline returns until when to wait for a packet.
@@ -146,6 +155,7 @@
 		t.checkPause(now)
 	}
 	t.lastLook = now
+	t.checkLag(now)
 	if failed := t.relay.Failed(); failed != t.lastFailed {
 		t.lastFailed = failed
 		t.failures.Store(true)
@@ -157,6 +167,19 @@
 	return now
 }
 
+// checkLag notes when the host falls behind its packets, and when it has caught
+// up: meanwhile nothing that it sees tells of endpoints.
+func (t *traffic) checkLag(now time.Duration) {
+	behind, turned := t.lag.look(now, t.socket.emptyAt)
+	if !turned {
+		return
+	}
+	t.relay.Behind(now, behind)
+	t.behind.Store(behind)
+	t.behindAt.Store(int64(now))
+	t.observer.behind(now, behind, now-t.socket.emptyAt)
+}
+
 // checkPause finds out whether the process stood still: either between two
 // looks, or while the machine slept and the steady clock stood still as well.
 func (t *traffic) checkPause(now time.Duration) {
