Keep sums on the board of sightings

Change: the sums are kept as lists come and go; a host is woken by others' additions alone, and additions are gathered for 30 ms.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -75,11 +75,12 @@
 	var added <-chan struct{}
 	for {
 		if c.Exchange != nil {
-			added = c.Exchange.Added()
+			added = c.Exchange.Added(peer)
 		}
 		select {
 		case <-time.After(interval):
 		case <-added:
+			time.Sleep(gatherTime)
 		}
 		ping := c.ping()
 		interval = c.Interval
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -160,7 +160,7 @@
 	var added <-chan struct{}
 	for ok {
 		if c.exchanges {
-			added = s.Exchange.Added()
+			added = s.Exchange.Added(c.host)
 		}
 		changed := s.Source.Changed()
 		batch, err := s.Source.Since(ctx, c.revision)
@@ -174,6 +174,7 @@
 		select {
 		case <-changed:
 		case <-added:
+			time.Sleep(gatherTime)
 		case last, ok = <-pings:
 		case <-ctx.Done():
 			return context.Cause(ctx)
--- a/internal/feed/sightings.go
+++ b/internal/feed/sightings.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"time"
+
 	"toucangap/internal/catalog"
 	"toucangap/internal/feed/feedpb"
 	"toucangap/internal/sighting"
@@ -12,15 +14,19 @@
 	Told(host string, list []sighting.Sighting)
 	// Tell returns what is known but from the named host.
 	Tell(host string) []sighting.Sighting
-	// Added returns a channel that is closed when there is something to tell at
-	// once.
-	Added() <-chan struct{}
+	// Added returns a channel that is closed when there is something to tell the
+	// named host at once.
+	Added(host string) <-chan struct{}
 }
 
 // mostAnswers bounds the count of one sighting: more than a failure domain asks of
 // one endpoint in the time that counts.
 const mostAnswers = 1e6
 
+// gatherTime is how long further additions are waited for before the first is
+// told: endpoints often fail together, and there may be many hosts to tell.
+const gatherTime = 30 * time.Millisecond
+
 // maxSightings bounds a list that a peer sends: the endpoints of a large
 // deployment that fail at once.
 const maxSightings = 10_000
--- a/internal/relayd/exchange.go
+++ b/internal/relayd/exchange.go
@@ -31,7 +31,7 @@
 }
 
 // Added implements feed.Exchange.
-func (x *exchange) Added() <-chan struct{} { return x.board.Added() }
+func (x *exchange) Added(host string) <-chan struct{} { return x.board.Added(host) }
 
 // run brings both sides together until the context ends.
 func (x *exchange) run(ctx context.Context) {
--- a/internal/sighting/sighting.go
+++ b/internal/sighting/sighting.go
@@ -30,7 +30,10 @@
 type Board struct {
 	mu    sync.Mutex
 	lists map[string]list
-	added chan struct{}
+	// sums are over all lists, so that asking costs no more with many hosts.
+	sums map[catalog.Token]sum
+	// waiting are closed at an addition by another host than the named one.
+	waiting map[string]chan struct{}
 }
 
 type list struct {
@@ -38,15 +41,27 @@
 	at        time.Duration
 }
 
+// sum is the total of an endpoint with the number of lists that have it.
+type sum struct {
+	Sighting
+	lists int
+}
+
 // NewBoard returns a board without lists.
-func NewBoard() *Board { return &Board{lists: make(map[string]list), added: make(chan struct{})} }
+func NewBoard() *Board {
+	return &Board{lists: make(map[string]list), sums: make(map[catalog.Token]sum), waiting: make(map[string]chan struct{})}
+}
 
-// Added returns a channel that is closed when a host tells of an endpoint that
-// it did not tell of before: that should be known at once.
-func (b *Board) Added() <-chan struct{} {
+// Added returns a channel that is closed when another host than the named one
+// tells of an endpoint that it did not tell of before: that should be passed on
+// at once.
+func (b *Board) Added(host string) <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.added
+	if b.waiting[host] == nil {
+		b.waiting[host] = make(chan struct{})
+	}
+	return b.waiting[host]
 }
 
 // Put replaces what a host has told.
@@ -54,14 +69,36 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if adds(b.lists[host].sightings, sightings) {
-		close(b.added)
-		b.added = make(chan struct{})
+		for name, c := range b.waiting {
+			if name != host {
+				close(c)
+				delete(b.waiting, name)
+			}
+		}
 	}
+	b.remove(host)
 	if len(sightings) == 0 {
-		delete(b.lists, host)
 		return
 	}
 	b.lists[host] = list{sightings: sightings, at: now}
+	for _, s := range sightings {
+		total := b.sums[s.Endpoint]
+		b.sums[s.Endpoint] = sum{Sighting{s.Endpoint, total.Answers + s.Answers, total.Failed + s.Failed}, total.lists + 1}
+	}
+}
+
+// remove takes a host's list out of the sums.
+func (b *Board) remove(host string) {
+	for _, s := range b.lists[host].sightings {
+		total := b.sums[s.Endpoint]
+		if total.lists == 1 {
+			// Nothing of rounding is left over.
+			delete(b.sums, s.Endpoint)
+			continue
+		}
+		b.sums[s.Endpoint] = sum{Sighting{s.Endpoint, total.Answers - s.Answers, total.Failed - s.Failed}, total.lists - 1}
+	}
+	delete(b.lists, host)
 }
 
 // adds reports whether the list has an endpoint that the former one lacks.
@@ -79,34 +116,26 @@
 func (b *Board) Others(now time.Duration, host string) []Sighting {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var sums map[catalog.Token]Sighting
 	for name, l := range b.lists {
 		if now-l.at > fresh {
-			delete(b.lists, name)
-			continue
-		}
-		if name == host {
-			continue
-		}
-		if sums == nil {
-			sums = make(map[catalog.Token]Sighting, len(l.sightings))
-		}
-		for _, s := range l.sightings {
-			sum := sums[s.Endpoint]
-			sums[s.Endpoint] = Sighting{s.Endpoint, sum.Answers + s.Answers, sum.Failed + s.Failed}
+			b.remove(name)
 		}
 	}
-	return sorted(sums)
-}
-
-func sorted(sums map[catalog.Token]Sighting) []Sighting {
-	if len(sums) == 0 {
+	if len(b.sums) == 0 {
 		return nil
 	}
-	all := make([]Sighting, 0, len(sums))
-	for _, s := range sums {
-		all = append(all, s)
+	own := make(map[catalog.Token]Sighting, len(b.lists[host].sightings))
+	for _, s := range b.lists[host].sightings {
+		own[s.Endpoint] = s
+	}
+	var others []Sighting
+	for token, total := range b.sums {
+		s, told := own[token]
+		if told && total.lists == 1 {
+			continue
+		}
+		others = append(others, Sighting{token, total.Answers - s.Answers, total.Failed - s.Failed})
 	}
-	slices.SortFunc(all, func(a, b Sighting) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
-	return all
+	slices.SortFunc(others, func(a, b Sighting) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return others
 }
--- a/internal/sighting/sighting_test.go
+++ b/internal/sighting/sighting_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucangap/internal/catalog"
 )
 
 func TestOthersSumsWithoutTheAsker(t *testing.T) {
@@ -47,7 +50,7 @@
 func TestAddedTellsOfNewEndpointsOnly(t *testing.T) {
 	b := NewBoard()
 	told := func(list ...Sighting) bool {
-		added := b.Added()
+		added := b.Added("other")
 		b.Put(0, "a", list)
 		select {
 		case <-added:
@@ -62,3 +65,54 @@
 	require.False(t, told(Sighting{2, 1, 1}))
 	require.False(t, told())
 }
+
+// TestOwnAdditionsAreNoNews: a host is not woken by what it told itself.
+func TestOwnAdditionsAreNoNews(t *testing.T) {
+	b := NewBoard()
+	own, other := b.Added("a"), b.Added("b")
+	b.Put(0, "a", []Sighting{{1, 1, 1}})
+	select {
+	case <-own:
+		require.Fail(t, "woken by its own list")
+	default:
+	}
+	<-other
+}
+
+// TestSumsAreOfPresentLists compares the sums with those computed anew, after
+// any series of lists and lapses.
+func TestSumsAreOfPresentLists(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBoard()
+		told := make(map[string]list)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, int64(fresh)).Draw(t, "gap"))
+			name := rapid.SampledFrom(names).Draw(t, "host")
+			var sightings []Sighting
+			for e := range rapid.IntRange(0, 4).Draw(t, "endpoints") {
+				failed := float64(rapid.IntRange(1, 5).Draw(t, "failed"))
+				sightings = append(sightings, Sighting{catalog.Token(e), 2 * failed, failed})
+			}
+			b.Put(now, name, sightings)
+			told[name] = list{sightings, now}
+			asker := rapid.SampledFrom(names).Draw(t, "asker")
+			want := make(map[catalog.Token]Sighting)
+			for host, l := range told {
+				if host == asker || now-l.at > fresh {
+					continue
+				}
+				for _, s := range l.sightings {
+					w := want[s.Endpoint]
+					want[s.Endpoint] = Sighting{s.Endpoint, w.Answers + s.Answers, w.Failed + s.Failed}
+				}
+			}
+			got := make(map[catalog.Token]Sighting)
+			for _, s := range b.Others(now, asker) {
+				got[s.Endpoint] = s
+			}
+			require.Equal(t, want, got)
+		}
+	})
+}
