Judge failures against what the whole service went through

In the crowd after the outage all endpoints failed some requests; a service's tally was outlived by its endpoints' ones, so that those with the worst luck stayed out, and hosts with thin links told the others of 30 to 60 endpoints each. Change: a service's tally has no bound on its answers, so that it fades as its endpoints' do; an endpoint has to fail half as much again as its service; a host at which a tenth of all requests fails tells nothing.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -77,7 +77,9 @@
 // Service gathers what endpoints of one service have in common.
 type Service struct {
 	answer average
-	tally  Tally
+	// answers counts those that the average is of.
+	answers int
+	tally   Tally
 }
 
 // Suspect reports whether the endpoint is passed over for now.
@@ -113,10 +115,15 @@
 	return recovered
 }
 
+// AliveSince reports whether the endpoint has given a sign of life after the
+// given time.
+func (e *Endpoint) AliveSince(since time.Duration) bool { return e.lastLife > since }
+
 // Answered takes the time from a request to the first bytes of its answer.
 func (e *Endpoint) Answered(now, took time.Duration, s *Service) {
 	e.answer.add(now, float64(took), endpointShare)
 	s.answer.add(now, float64(took), serviceShare)
+	s.answers++
 }
 
 // Unanswered takes note of a request that had no answer until its caller gave
--- a/internal/balance/tally.go
+++ b/internal/balance/tally.go
@@ -20,8 +20,17 @@
 	// which a request counts as failed before its caller gives up: endpoints that
 	// accept flows and leave requests undone must not go on drawing others.
 	overdueFactor = 4
-	// tolerableFailures is the share of failed requests, above that of the whole
-	// service, that is put down to luck.
+	// answersNeeded is the number of answers after which the usual time is known,
+	// and never is longer than any request waits.
+	answersNeeded = 20
+	never         = time.Hour
+	// commonFailures is the multiple of the whole service's share of failed
+	// requests that an endpoint may have: while many fail, in a crowd or after an
+	// outage, differences are luck, and to leave out those that had less of it
+	// would drown the others.
+	commonFailures = 1.5
+	// tolerableFailures is the share of failed requests beyond that which is put
+	// down to luck.
 	tolerableFailures = 0.05
 )
 
@@ -45,7 +54,11 @@
 	if failed {
 		t.Failed++
 	}
-	if excess := t.Answers / mostAnswers; excess > 1 {
+}
+
+// limit bounds the answers that count.
+func (t *Tally) limit(most float64) {
+	if excess := t.Answers / most; excess > 1 {
 		t.Answers /= excess
 		t.Failed /= excess
 	}
@@ -57,11 +70,20 @@
 // Judged takes whether a request of the endpoint ended well.
 func (e *Endpoint) Judged(now time.Duration, failed bool, s *Service) {
 	e.own.add(now, failed)
+	e.own.limit(mostAnswers)
+	// The service's tally has no bound: what all endpoints went through must be
+	// remembered for as long as what each of them did.
 	s.tally.add(now, failed)
 }
 
-// Overdue returns the time from which an answer has been outstanding for too long.
-func (s *Service) Overdue() time.Duration { return overdueFactor * s.Usual() }
+// Overdue returns the time from which an answer has been outstanding for too
+// long; never while too few answers have been seen.
+func (s *Service) Overdue() time.Duration {
+	if s.answers < answersNeeded {
+		return never
+	}
+	return overdueFactor * s.Usual()
+}
 
 // Hear takes what the other hosts of the failure domain have seen of the
 // endpoint, all of them together.
@@ -74,14 +96,24 @@
 // are told of an endpoint.
 const leastTold = 0.25
 
+// mostCommon is the share of all requests of a service that fail at a host from
+// which it tells the others nothing: when so many fail, its own link or processor
+// may be the cause.
+const mostCommon = 0.1
+
 // Tell returns what this host has seen of the endpoint; ok is false if there is
-// nothing that others should know.
-func (e *Endpoint) Tell(now time.Duration) (t Tally, ok bool) {
-	if e.own.Failed < leastTold {
+// nothing that others should know. What has faded is forgotten.
+func (e *Endpoint) Tell(now time.Duration, s *Service) (t Tally, ok bool) {
+	if e.own.Failed == 0 || s.tally.share() > mostCommon {
 		return Tally{}, false
 	}
 	t = e.own.At(now)
-	return t, t.Failed >= leastTold
+	if t.Failed < leastTold {
+		// It is too little to matter here as well.
+		e.own.Failed = 0
+		return Tally{}, false
+	}
+	return t, true
 }
 
 // The shares from which an endpoint is said to fail, and below which to be well
@@ -109,7 +141,12 @@
 	if e.own.Failed == 0 && e.heard.Failed == 0 {
 		return 0
 	}
-	return max(0, e.Record(now).share()-s.tally.At(now).share()-tolerableFailures)
+	if e.own.share()+e.heard.share() <= tolerableFailures {
+		// Shares fall as tallies fade, so that the exact one is lower still. Choices
+		// go over all endpoints of a service, and nearly all end here.
+		return 0
+	}
+	return max(0, e.Record(now).share()-commonFailures*s.tally.At(now).share()-tolerableFailures)
 }
 
 // Record returns what all hosts of the domain have seen of the endpoint.
--- a/internal/balance/tally_test.go
+++ b/internal/balance/tally_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -134,6 +135,7 @@
 		for range rapid.IntRange(1, 200).Draw(t, "answers") {
 			now += time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "gap"))
 			tally.add(now, rapid.Bool().Draw(t, "failed"))
+			tally.limit(mostAnswers)
 			share := tally.share()
 			require.False(t, math.IsNaN(share))
 			require.True(t, share >= 0 && share <= 1)
@@ -142,3 +144,28 @@
 		}
 	})
 }
+
+// TestCrowdIsNotHeldAgainstSome plays a crowd in which all endpoints fail a third
+// of their requests, and a calm second after it: at most one in ten is passed over
+// for its worse luck.
+func TestCrowdIsNotHeldAgainstSome(t *testing.T) {
+	all := endpoints(40, "here")
+	var s Service
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := time.Duration(0)
+	for range 400 {
+		now += 5 * ms
+		all[rng.IntN(len(all))].Judged(now, rng.IntN(3) == 0, &s)
+	}
+	for range 100 {
+		now += 10 * ms
+		all[rng.IntN(len(all)/2)].Judged(now, false, &s)
+	}
+	passedOver := 0
+	for _, e := range all {
+		if e.Failing(now, &s) > 0.1 {
+			passedOver++
+		}
+	}
+	require.LessOrEqual(t, passedOver, len(all)/10)
+}
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -71,6 +71,9 @@
 	requestAt time.Duration
 	// overdue tells that the request that is waited for has been counted as failed.
 	overdue bool
+	// midst tells that the request began before the host saw the flow: its caller
+	// may have given up by now, so that a missing answer says nothing.
+	midst bool
 	// adopted tells that another host forwarded the first packet.
 	adopted bool
 	// cut tells that the host has reset the flow.
--- a/internal/relay/later.go
+++ b/internal/relay/later.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	f := r.newFlow(now, s.Flow)
-	f.adopted = true
+	f.adopted, f.midst = true, true
 	f.state = stateOpen
 	f.service = r.service(e.Entry.Service)
 	f.route, f.timeout, f.target = route.Name, route.Timeout, route.Target
@@ -174,6 +174,10 @@
 func (r *Relay) answered(now time.Duration, f *flow) {
 	took := now - f.requestAt
 	f.setWaiting(false)
+	if f.midst {
+		f.midst = false
+		return
+	}
 	if !r.behind {
 		f.endpoint.Answered(now, took, &f.service.seen)
 	}
--- a/internal/relay/sightings.go
+++ b/internal/relay/sightings.go
@@ -12,7 +12,7 @@
 func (r *Relay) Sightings(now time.Duration) []sighting.Sighting {
 	var list []sighting.Sighting
 	for token, e := range r.endpoints {
-		if t, ok := e.Tell(now); ok {
+		if t, ok := e.Tell(now, &r.service(e.Entry.Service).seen); ok {
 			list = append(list, sighting.Sighting{Endpoint: token, Answers: t.Answers, Failed: t.Failed})
 		}
 	}
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -63,7 +63,8 @@
 // first one may have refused the flow: its reset goes to the caller, which is
 // not there any more when the packet reaches the next one. So that one is not
 // to blame; and if nobody has reacted in the end, the first one has failed the
-// caller's request.
+// caller's request, unless it has reacted to others meanwhile: then the caller
+// had gone before.
 func (r *Relay) blame(now time.Duration, f *flow) {
 	if f.tries == 1 {
 		f.endpoint.Silent(now, f.sentAt)
@@ -71,9 +72,11 @@
 		return
 	}
 	if f.tries == maxTries {
-		f.tried[0].Judged(now, true, &f.service.seen)
-		r.stats.Failed++
-		r.noteTurn(now, f.tried[0])
+		if first := f.tried[0]; !first.AliveSince(f.triedAt[0]) {
+			first.Judged(now, true, &f.service.seen)
+			r.stats.Failed++
+			r.noteTurn(now, first)
+		}
 		// The caller has most likely gone; a later packet of it counts again.
 		f.setWaiting(false)
 	}
@@ -94,8 +97,10 @@
 // abandoned takes note that a caller has given up waiting for an answer.
 func (r *Relay) abandoned(now time.Duration, f *flow) {
 	r.stats.Unanswered++
-	f.endpoint.Unanswered(now, now-f.requestAt)
-	if !f.overdue {
+	if !f.midst {
+		f.endpoint.Unanswered(now, now-f.requestAt)
+	}
+	if !f.midst && !f.overdue {
 		r.judged(now, f, true)
 	}
 	f.setWaiting(false)
@@ -108,7 +113,7 @@
 		r.abandoned(now, f)
 	}
 	overdueAt := f.requestAt + f.service.seen.Overdue()
-	if f.waiting && !f.overdue && now >= overdueAt {
+	if f.waiting && !f.midst && !f.overdue && now >= overdueAt {
 		f.overdue = true
 		r.judged(now, f, true)
 	}
@@ -120,7 +125,7 @@
 	}
 	next := idleAt
 	switch {
-	case f.waiting && f.overdue:
+	case f.waiting && (f.overdue || f.midst):
 		next = min(next, f.requestAt+f.timeout)
 	case f.waiting:
 		next = min(next, f.requestAt+f.timeout, overdueAt)
