--- a/standin/experiment/experiment.go
+++ b/standin/experiment/experiment.go
@@ -30,6 +30,7 @@
 		{"no sending on", relay.Options{Without: relay.Parts{SendingOn: true}}},
 		{"no death", relay.Options{Without: relay.Parts{Death: true}}},
 		{"no admission", relay.Options{Without: relay.Parts{Admission: true}}},
+		{"without failures", relay.Options{Choose: emu.WithoutFailures}},
 		{"least open", relay.Options{Choose: emu.LeastOpen}},
 		{"random", relay.Options{Choose: emu.Random}},
 	}
@@ -76,6 +77,21 @@
 				e.Fails = 64
 			}
 		}},
+		{"three erring", func(w *emu.World) {
+			w.At(time.Second, func() {
+				for _, e := range w.Endpoints("alerts")[:3] {
+					e.Errs = 128
+				}
+			})
+		}},
+		{"four refusing", func(w *emu.World) {
+			w.Rate(1.4)
+			w.At(time.Second, func() {
+				for _, e := range w.Endpoints("alerts")[:4] {
+					e.CrashRefusing(3600*time.Millisecond, 5*time.Second)
+				}
+			})
+		}},
 		{"hosts replaced", func(w *emu.World) {
 			for i, h := range w.Hosts() {
 				w.At(time.Duration(i+1)*1200*time.Millisecond, func() { h.Kill(400 * time.Millisecond) })
