Bring a long listing up to date before it is used

All hosts then read 3,000 entries at once. A page that took longer than 1.7 s over the full link was given up and asked for anew; a listing of more than 5 s began again at the first page; and a host began to serve with a configuration as old as its first page. Change: a host that has just started takes a page for as long as it keeps arriving, goes on with a listing for 10 s, half of the store's history, and asks for what has changed since the first page before it uses the listing. News of a seed that are too old are left while the store answers.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -75,6 +75,7 @@
 	HostAnnounceFailed
 	HostListed
 	HostGone
+	ListingOld
 )
 
 var followerArea = Area{
@@ -100,5 +101,6 @@
 		{HostAnnounceFailed, slog.LevelInfo, "host not registered in the store yet", "None while the store is away; other hosts do not find this one meanwhile."},
 		{HostListed, slog.LevelInfo, "other host registered", "None."},
 		{HostGone, slog.LevelInfo, "registration of another host is gone", "None if it was stopped; else it died or lost the store."},
+		{ListingOld, slog.LevelWarn, "store's listing took long and could not be brought up to date", "None if the store is slow; the host goes on with a watch."},
 	},
 }
--- a/internal/follow/keeper.go
+++ b/internal/follow/keeper.go
@@ -23,6 +23,8 @@
 	// Complete tells that keys that are not among the changes don't exist.
 	Complete bool
 	Changes  []platform.Change
+	// Later are changes after the revision, which a listing does not speak of.
+	Later []platform.Change
 	// Revision is the store's revision up to which the batch is complete.
 	Revision uint64
 	// Proven is the moment, on the clock that runs on while the machine sleeps,
@@ -85,6 +87,12 @@
 	if b.Complete && k.retain(now, b) {
 		changed = true
 	}
+	for i := range b.Later {
+		if k.change(now, &b.Later[i]) {
+			changed = true
+		}
+		k.directory.Advance(b.Later[i].Revision)
+	}
 	if b.Revision > k.directory.Revision() {
 		k.directory.Advance(b.Revision)
 	}
--- a/internal/follow/keeper_test.go
+++ b/internal/follow/keeper_test.go
@@ -288,3 +288,21 @@
 		})
 	}
 }
+
+// TestLaterChangesOfAListing: what came after a listing's revision is neither
+// dropped by the listing nor older than it.
+func TestLaterChangesOfAListing(t *testing.T) {
+	k := NewKeeper(slog.New(slog.DiscardHandler), time.Minute, time.Minute)
+	change := func(key string, revision uint64, removed bool) platform.Change {
+		return platform.Change{Item: platform.Item{Key: key, Value: []byte("{}"), Revision: revision}, Removed: removed}
+	}
+	k.Apply(0, Batch{
+		Complete: true, Revision: 5,
+		Changes: []platform.Change{change("x/a", 3, false), change("x/b", 4, false)},
+		Later:   []platform.Change{change("x/a", 7, true), change("x/c", 8, false)},
+	})
+	require.True(t, k.items["x/a"].removed)
+	require.False(t, k.items["x/b"].removed)
+	require.False(t, k.items["x/c"].removed)
+	require.Equal(t, uint64(8), k.Revision())
+}
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -15,7 +15,7 @@
 
 // Store is what following needs of the platform's store.
 type Store interface {
-	List(ctx context.Context, prefix, after string) (platform.Page, error)
+	List(ctx context.Context, prefix, after string, stall time.Duration) (platform.Page, error)
 	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (platform.Changes, error)
 }
 
@@ -38,7 +38,9 @@
 	// cursor is where the next watch goes on; 0 means that a listing is due.
 	cursor uint64
 	// begun is a listing of which pages are missing.
-	begun   *listing
+	begun *listing
+	// listed tells that a listing has been read whole since the start.
+	listed  bool
 	backoff Backoff
 	// answeredAt is when the store answered last.
 	answeredAt atomic.Int64
@@ -118,7 +120,7 @@
 
 // listingLife is how long a listing is gone on with after a page has failed.
 // What changed meanwhile has to be in the store's history still.
-const listingLife = 5 * time.Second
+const listingLife = 10 * time.Second
 
 // list reads all keys. The pages are no snapshot: the batch is complete up to
 // the first page's revision, and the watch goes on from there. When many hosts
@@ -143,9 +145,10 @@
 			l.after = item.Key
 		}
 		if !page.More || len(page.Items) == 0 {
-			f.begun = nil
+			f.begun, f.listed = nil, true
 			f.cursor = l.batch.Revision
 			l.batch.Regained = f.regained()
+			f.freshen(ctx, &l.batch)
 			event.Log(f.Logger, event.StoreListed, slog.Int("keys", len(l.batch.Changes)), slog.Uint64("revision", l.batch.Revision))
 			f.Take(l.batch)
 			return nil
@@ -160,10 +163,36 @@
 // called from any goroutine.
 func (f *Follower) Answered() time.Duration { return time.Duration(f.answeredAt.Load()) }
 
+// page reads one page. A host that has just started waits for as long as the page
+// keeps arriving: when many start at once, the store's link is full, and to give
+// up and ask again would fill it with the same pages.
 func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
+	limit := f.Pace.Call
+	if !f.listed {
+		limit = listingLife
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return f.Store.List(ctx, platform.Everything, after, f.Pace.Call)
+}
+
+// freshen adds to a listing that took long what has changed since its first page,
+// so that a host does not begin with an old configuration.
+func (f *Follower) freshen(ctx context.Context, b *Batch) {
+	begun := f.Awake()
+	if begun-b.Proven <= f.Pace.Pause {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.Pace.Call)
 	defer cancel()
-	return f.Store.List(ctx, platform.Everything, after)
+	changes, err := f.Store.Watch(ctx, platform.Everything, b.Revision, shortestWait)
+	if err != nil {
+		// The batch says how old it is, and the next step is a watch again.
+		event.Log(f.Logger, event.ListingOld, slog.Duration("age", f.Awake()-b.Proven), slog.String("error", err.Error()))
+		return
+	}
+	b.Later, b.Proven = changes.Changes, begun
+	f.cursor = max(f.cursor, changes.Revision)
 }
 
 // watch waits for changes. An answer without any proves that nothing had
--- a/internal/follow/store_test.go
+++ b/internal/follow/store_test.go
@@ -38,7 +38,7 @@
 	return n
 }
 
-func (s *fakeStore) List(_ context.Context, prefix, after string) (platform.Page, error) {
+func (s *fakeStore) List(_ context.Context, prefix, after string, _ time.Duration) (platform.Page, error) {
 	n := s.next(fmt.Sprintf("list %q after %q", prefix, after))
 	return n.page, n.err
 }
@@ -108,6 +108,25 @@
 	require.Equal(t, uint64(20), batches[0].Revision)
 }
 
+// TestLongListingIsBroughtUpToDate: what has changed while a listing was read is
+// asked for at once and given with it; if that fails the batch says how old it is.
+func TestLongListingIsBroughtUpToDate(t *testing.T) {
+	slow := listOf(5, "a")
+	slow.takes = 4 * time.Second
+	later := []platform.Change{{Item: platform.Item{Key: "b", Revision: 7}}}
+	batches, _, f := play(t, slow, step{want: "watch since 5 for 1ms", watch: platform.Changes{Revision: 8, Changes: later}})
+	require.Len(t, batches, 1)
+	require.Equal(t, uint64(5), batches[0].Revision)
+	require.Equal(t, later, batches[0].Later)
+	require.Equal(t, 104*time.Second, batches[0].Proven)
+	require.Equal(t, uint64(8), f.cursor)
+
+	batches, _, f = play(t, slow, step{want: "watch since 5 for 1ms", err: platform.ErrBusy})
+	require.Len(t, batches, 1)
+	require.Equal(t, 100*time.Second, batches[0].Proven)
+	require.Equal(t, uint64(5), f.cursor)
+}
+
 // TestProofOfAWatch: an answer without changes proves the whole wait, one with
 // changes only the time of the call; a late answer proves no more.
 func TestProofOfAWatch(t *testing.T) {
--- a/internal/relayd/source.go
+++ b/internal/relayd/source.go
@@ -94,6 +94,11 @@
 		Take: func(b follow.Batch) {
 			// The rest of a seed's news comes by the usual ways.
 			defer cancel()
+			if s.clock.Awake()-b.Proven > s.pace.MaxAge && s.storeAnswers() {
+				// The store's own word is on its way: nothing is to be decided by an
+				// old configuration until then.
+				return
+			}
 			s.control.take(ctx, b)
 		},
 	}
@@ -102,6 +107,12 @@
 		slog.String("error", err.Error()), slog.Duration("view_age", s.control.age()))
 }
 
+// storeAnswers reports whether the store has answered lately.
+func (s *source) storeAnswers() bool {
+	answered := s.follower.Answered()
+	return answered > 0 && s.clock.Awake()-answered < s.pace.Call
+}
+
 // followPeers is fed by the best host that may, for as long as it can. It
 // reports whether there was one to try.
 func (s *source) followPeers(ctx context.Context) bool {
