Leave it to routers to pass over a host that can't keep up

Change: readiness is as before; a host that is behind still judges nothing and starts anew. Conclusion: a part without a proven gain is taken out.

--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -106,27 +106,6 @@
 	return len(restarting) == 0 || 2*ready >= all+1, restarting
 }
 
-// OthersServe reports whether the callers of the named host can be left to other
-// hosts: those of its domain by MayLeave, or, if it is the only one of its domain,
-// those of others, which routers then use.
-func (k *Keeper) OthersServe(now time.Duration, name, domain string) bool {
-	near, far := 0, 0
-	for other, h := range k.hosts {
-		switch {
-		case other == name:
-		case h.Domain == domain:
-			near++
-		default:
-			far++
-		}
-	}
-	if near == 0 {
-		return far > 0
-	}
-	ok, _ := k.MayLeave(now, name, domain)
-	return ok
-}
-
 // Hosts returns the registered hosts by name.
 func (k *Keeper) Hosts() []Host {
 	hosts := make([]Host, 0, len(k.hosts))
--- a/internal/follow/keeper_test.go
+++ b/internal/follow/keeper_test.go
@@ -267,28 +267,6 @@
 	}
 }
 
-// TestOthersServe: the only host of a domain leaves its callers to other domains,
-// others stay unless half of their domain is left.
-func TestOthersServe(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		hosts map[string]string
-		want  bool
-	}{
-		{"alone", map[string]string{"a": "d"}, false},
-		{"alone in its domain", map[string]string{"a": "d", "b": "e"}, true},
-		{"one of two", map[string]string{"a": "d", "b": "d"}, true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			k := NewKeeper(slog.New(slog.DiscardHandler), time.Minute, time.Minute)
-			for name, domain := range c.hosts {
-				k.hosts[name] = Host{Name: name, Domain: domain}
-			}
-			require.Equal(t, c.want, k.OthersServe(0, "a", "d"))
-		})
-	}
-}
-
 // TestLaterChangesOfAListing: what came after a listing's revision is neither
 // dropped by the listing nor older than it.
 func TestLaterChangesOfAListing(t *testing.T) {
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -139,13 +139,6 @@
 	return ok, restarting
 }
 
-// othersServe reports whether enough other hosts are registered for this one to
-// leave its callers to them.
-func (c *control) othersServe(ctx context.Context, h follow.Host) (ok bool) {
-	c.do(ctx, func() { ok = c.keeper.OthersServe(c.clock.Steady(), h.Name, h.Domain) })
-	return ok
-}
-
 // revision returns the store's revision up to which the state is complete.
 func (c *control) revision(ctx context.Context) (revision uint64) {
 	c.do(ctx, func() { revision = c.keeper.Revision() })
--- a/internal/relayd/lag.go
+++ b/internal/relayd/lag.go
@@ -18,36 +18,3 @@
 	l.behind = behind
 	return behind, turned
 }
-
-const (
-	// shortestRest is how long a host that was behind stays out of the rotation;
-	// longestRest bounds the doubling of that while it happens again and again.
-	shortestRest = 2 * time.Second
-	longestRest  = 16 * time.Second
-	// restMemory is how long a host has to keep up until its next rest is short.
-	restMemory = 20 * time.Second
-)
-
-// rest decides how long a host that falls behind stays out of the rotation. The
-// load that it answers is a host that has become too slow for its share of
-// packets: others serve its callers sooner, and a host that comes back at once
-// would fall behind again.
-type rest struct {
-	until time.Duration
-	span  time.Duration
-}
-
-// look takes whether the host is behind, and reports whether it should rest.
-func (r *rest) look(now time.Duration, behind bool) bool {
-	if !behind {
-		return now < r.until
-	}
-	if now >= r.until {
-		r.span = min(2*r.span, longestRest)
-		if r.span == 0 || now >= r.until+restMemory {
-			r.span = shortestRest
-		}
-	}
-	r.until = max(r.until, now+r.span)
-	return true
-}
--- a/internal/relayd/lag_test.go
+++ b/internal/relayd/lag_test.go
@@ -27,26 +27,6 @@
 	}
 }
 
-// TestRestsGrowLonger plays a host that falls behind whenever it is used.
-func TestRestsGrowLonger(t *testing.T) {
-	var r rest
-	now := time.Duration(0)
-	var rests []time.Duration
-	for range 6 {
-		require.True(t, r.look(now, true))
-		begun := now
-		for r.look(now, false) {
-			now += 100 * time.Millisecond
-		}
-		rests = append(rests, now-begun)
-		now += time.Second
-	}
-	require.Equal(t, []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second, 16 * time.Second, 16 * time.Second}, rests)
-	now += restMemory
-	require.True(t, r.look(now, true))
-	require.False(t, r.look(now+shortestRest, false))
-}
-
 // TestSocketKnowsWhenItWasEmpty: packets that wait have come since the last time
 // that there was none; one that is waited for has waited for nothing.
 func TestSocketKnowsWhenItWasEmpty(t *testing.T) {
--- a/internal/relayd/ready.go
+++ b/internal/relayd/ready.go
@@ -6,14 +6,12 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"toucangap/internal/event"
-	"toucangap/internal/follow"
 	"toucangap/platform"
 )
 
@@ -22,14 +20,8 @@
 
 // readiness answers whether the host takes callers' packets.
 type readiness struct {
-	control *control
-	traffic *traffic
-	host    follow.Host
-	clock   *clock
-	rest    rest
-	logger  *slog.Logger
-	// mu guards rest.
-	mu       sync.Mutex
+	control  *control
+	logger   *slog.Logger
 	stopping atomic.Bool
 	last     atomic.Bool
 	asked    atomic.Bool
@@ -50,20 +42,9 @@
 	return true, ""
 }
 
-// resting reports whether the host should leave its callers to others because it
-// can't keep up. It stays if too few others would be left.
-func (r *readiness) resting(ctx context.Context) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.rest.look(r.clock.Steady(), r.traffic.behind.Load()) && r.control.othersServe(ctx, r.host)
-}
-
 // ServeHTTP implements http.Handler.
-func (r *readiness) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+func (r *readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	ready, reason := r.ready()
-	if ready && r.resting(request.Context()) {
-		ready, reason = false, "behind"
-	}
 	changed := r.last.Swap(ready) != ready
 	if first := !r.asked.Swap(true); changed || first {
 		if ready {
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -75,7 +75,7 @@
 	d.logger = slog.New(slog.NewTextHandler(d.lines, &slog.HandlerOptions{Level: level}))
 	d.control = newControl(d.clock, d.logger, s.Bounds.FlowLifetime, s.Store.History)
 	host := follow.Host{Name: s.Name, Domain: s.Domain, Feed: s.Listen.FeedAdvertised}
-	d.ready = &readiness{control: d.control, logger: d.logger, host: host, clock: d.clock}
+	d.ready = &readiness{control: d.control, logger: d.logger}
 	d.announce = &announcer{host: host, store: d.store, control: d.control, logger: d.logger, shortestLease: s.Store.ShortestLease}
 	if err := d.listen(); err != nil {
 		d.lines.Close(logPatience)
@@ -107,7 +107,6 @@
 		Output:       d.traffic,
 		Observer:     d.traffic.observer,
 	}, d.clock.Steady())
-	d.ready.traffic = d.traffic
 	d.control.published = d.traffic.wake
 	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, board: sighting.NewBoard()}
 	if d.readyListener, err = listenTCP(d.settings.Listen.Ready); err != nil {
--- a/internal/relayd/traffic.go
+++ b/internal/relayd/traffic.go
@@ -65,10 +65,6 @@
 	// lastFailed is their number as seen by look.
 	failures   atomic.Bool
 	lastFailed int64
-	// behind tells that packets wait for too long, behindAt when that has last
-	// begun or ended, in nanoseconds of the steady clock.
-	behind     atomic.Bool
-	behindAt   atomic.Int64
 	malformed  atomic.Int64
 	sendErrors atomic.Int64
 	reset      []byte
@@ -175,8 +171,6 @@
 		return
 	}
 	t.relay.Behind(now, behind)
-	t.behind.Store(behind)
-	t.behindAt.Store(int64(now))
 	t.observer.behind(now, behind, now-t.socket.emptyAt)
 }
 
