--- a/internal/relayd/lag.go
+++ b/internal/relayd/lag.go
@@ -3,7 +3,7 @@
 import "time"
 
 // behindFrom is how long packets may have waited in the socket until the host
-// counts as behind: longer than a host with a usage cap may have to pause (a tenth of
+// counts as behind: longer than a host with a processor quota may have to pause (a tenth of
 // a second), and longer than callers wait before they repeat a packet.
 const behindFrom = 250 * time.Millisecond
 
