--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -92,6 +92,8 @@
 	// ColdFor is how much longer the endpoint is slow because it has just started,
 	// counted from when it wrote its entry.
 	ColdFor time.Duration
+	// Report is the number of this report among those of its incarnation.
+	Report int64
 	// StartedUnixMs is when this incarnation started, or 0 if not reported.
 	StartedUnixMs int64
 }
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -9,8 +9,8 @@
 // Entry is an endpoint with metadata of the store and of the host.
 type Entry struct {
 	*Endpoint
-	// Revision is the store's revision of the entry.
-	Revision uint64
+	// Position is the store's position of the entry.
+	Position Position
 	// WarmAt is the latest end of the cold start, on the host's monotonic clock:
 	// ColdFor after the host received the entry.
 	WarmAt time.Duration
@@ -22,8 +22,8 @@
 // View is an immutable snapshot of routes and endpoints, read without locks by
 // the packet path.
 type View struct {
-	// Revision is the store's revision as of which the view is complete.
-	Revision      uint64
+	// Position is the store's position as of which the view is complete.
+	Position      Position
 	Configuration *Configuration
 
 	routes    map[Address]*Route
@@ -80,10 +80,8 @@
 	// forwarded.
 	removedRetention time.Duration
 
-	revision      uint64
+	position      Position
 	configuration *Configuration
-	// configRevision is the store's revision of the configuration.
-	configRevision uint64
 	// entries holds the endpoints by id.
 	entries          map[string]*directoryEntry
 	recoveryGraceEnd time.Duration
@@ -95,8 +93,19 @@
 	removedAt time.Duration
 	// usableUntil is when a removed entry ceases to take new flows.
 	usableUntil time.Duration
+	// restored is the entry of a restored store that is held back, until
+	// restoredUntil, because it may be older than what was known before; nil if
+	// there is none.
+	restored      *Endpoint
+	restoredUntil time.Duration
 }
 
+// restoredHold is how long a restored store's entry is held back if it would make
+// an endpoint available that was known to be draining or gone. Endpoints that are
+// alive report within about two seconds, and the store removes the entries of others
+// after three heartbeat intervals of silence.
+const restoredHold = 5 * time.Second
+
 // NewDirectory returns an empty directory. The recovery grace period lasts for
 // recoveryGrace; flows of removed endpoints are forwarded for removedRetention.
 func NewDirectory(recoveryGrace, removedRetention time.Duration) *Directory {
@@ -123,14 +132,14 @@
 	d.recoveryGraceEnd = max(d.recoveryGraceEnd, now+min(span, d.recoveryGrace))
 }
 
-// SetConfiguration sets the configuration, as of the store's revision, and reports
-// whether it did. Both its version and the revision must be higher than those of
-// the current one.
-func (d *Directory) SetConfiguration(c *Configuration, revision uint64) bool {
-	if d.configuration != nil && (revision <= d.configRevision || c.Version <= d.configuration.Version) {
+// SetConfiguration sets the configuration and reports whether it did. Its version
+// must be higher than that of the current one, wherever it comes from: a restored
+// store may hold an older version for a while.
+func (d *Directory) SetConfiguration(c *Configuration) bool {
+	if d.configuration != nil && c.Version <= d.configuration.Version {
 		return false
 	}
-	d.configuration, d.configRevision = c, revision
+	d.configuration = c
 	return true
 }
 
@@ -138,66 +147,87 @@
 func (d *Directory) Configuration() *Configuration { return d.configuration }
 
 // PutEndpoint adds or replaces an endpoint's entry, and reports whether it did. The
-// revision must be higher than that of the current entry.
-func (d *Directory) PutEndpoint(now time.Duration, e *Endpoint, revision uint64) bool {
-	if old := d.entries[e.ID]; old != nil && old.Revision >= revision {
+// position must be after that of the current entry. The first entry from a restored
+// store is held back if it may be older than what is known.
+func (d *Directory) PutEndpoint(now time.Duration, e *Endpoint, position Position) bool {
+	old := d.entries[e.ID]
+	if old != nil && !position.After(old.Position) {
+		return false
+	}
+	if old != nil && old.Position.Incarnation < position.Incarnation && old.supersedes(e) {
+		old.Position = position
+		old.restored, old.restoredUntil = e, now+restoredHold
 		return false
 	}
+	d.install(now, e, position)
+	return true
+}
+
+func (d *Directory) install(now time.Duration, e *Endpoint, position Position) {
 	d.entries[e.ID] = &directoryEntry{Entry: Entry{
 		Endpoint: e,
-		Revision: revision,
+		Position: position,
 		WarmAt:   now + e.ColdFor,
 		Listed:   true,
 	}}
-	return true
 }
 
-// RemoveEndpoint marks an entry as removed, or as unreadable, as of the revision
+// supersedes reports whether the known entry may be newer than one of a restored
+// store: an earlier incarnation of the endpoint, an entry that was removed, or an
+// earlier report of one that has begun to drain.
+func (e *directoryEntry) supersedes(restored *Endpoint) bool {
+	if restored.StartedUnixMs != e.StartedUnixMs {
+		return restored.StartedUnixMs < e.StartedUnixMs
+	}
+	return e.removed || e.Draining && !restored.Draining && restored.Report <= e.Report
+}
+
+// RemoveEndpoint marks an entry as removed, or as unreadable, as of the position
 // and reports whether that changed anything. During the recovery grace period the
 // endpoint still takes new flows.
-func (d *Directory) RemoveEndpoint(now time.Duration, id string, revision uint64) bool {
+func (d *Directory) RemoveEndpoint(now time.Duration, id string, position Position) bool {
 	e := d.entries[id]
-	if e == nil || e.removed || e.Revision > revision {
+	if e == nil || e.Position.After(position) {
+		return false
+	}
+	e.restored = nil
+	if e.removed {
 		return false
 	}
 	e.removed = true
 	e.removedAt = now
 	e.usableUntil = max(now, d.recoveryGraceEnd)
-	e.Revision = revision
+	e.Position = position
 	return true
 }
 
-// RetainEndpoints removes the endpoints that are missing from a complete listing
-// and are not newer than it. It returns their ids.
-func (d *Directory) RetainEndpoints(now time.Duration, listed map[string]bool, revision uint64) []string {
-	var removed []string
-	for id := range d.entries {
-		if !listed[id] && d.RemoveEndpoint(now, id, revision) {
-			removed = append(removed, id)
-		}
-	}
-	slices.Sort(removed)
-	return removed
-}
-
-// Advance records that the directory is complete up to the revision.
-func (d *Directory) Advance(revision uint64) { d.revision = max(d.revision, revision) }
+// Advance records that the directory is complete up to the position.
+func (d *Directory) Advance(position Position) { d.position = d.position.Max(position) }
 
-// Revision returns the revision up to which the directory is complete.
-func (d *Directory) Revision() uint64 { return d.revision }
+// Position returns the position up to which the directory is complete.
+func (d *Directory) Position() Position { return d.position }
 
-// Expire deletes removed endpoints after their retention. It returns the time at
-// which to call it again, or 0 if no removed endpoint is left, and whether a new
-// view would differ from the last one.
+// Expire deletes removed endpoints after their retention, and installs entries of a
+// restored store that are no longer held back. It returns the time at which to call
+// it again, or 0 if nothing is due, and whether a new view would differ from the
+// last one.
 func (d *Directory) Expire(now time.Duration) (next time.Duration, changed bool) {
 	for id, e := range d.entries {
+		if e.restored != nil {
+			if now >= e.restoredUntil {
+				d.install(now, e.restored, e.Position)
+				changed = true
+				continue
+			}
+			next = earliest(next, e.restoredUntil)
+		}
 		if !e.removed {
 			continue
 		}
 		if e.Listed && now >= e.usableUntil {
 			changed = true
 		}
-		deleteAt := max(e.removedAt+d.removedRetention, e.usableUntil)
+		deleteAt := max(e.removedAt+d.removedRetention, e.usableUntil, e.restoredUntil)
 		if now >= deleteAt {
 			delete(d.entries, id)
 			changed = true
@@ -207,17 +237,23 @@
 		if now < e.usableUntil {
 			due = e.usableUntil
 		}
-		if next == 0 || due < next {
-			next = due
-		}
+		next = earliest(next, due)
 	}
 	return next, changed
 }
 
+// earliest returns the earlier of two times of which 0 means none.
+func earliest(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
 // View returns the current state as an immutable view.
 func (d *Directory) View(now time.Duration) *View {
 	v := &View{
-		Revision:      d.revision,
+		Position:      d.position,
 		Configuration: d.configuration,
 		routes:        make(map[Address]*Route),
 		byToken:       make(map[Token]*Entry, len(d.entries)),
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -76,6 +76,8 @@
 	HostListed
 	HostUnregistered
 	ListingStale
+	StoreRestored
+	UpdateIgnored
 )
 
 var followerArea = Area{
@@ -102,5 +104,7 @@
 		{HostListed, slog.LevelInfo, "another host registered", "None."},
 		{HostUnregistered, slog.LevelInfo, "registration of another host removed", "None if it was stopped; otherwise it died or lost its connection to the store."},
 		{ListingStale, slog.LevelWarn, "reading the store took too long and the result could not be brought up to date", "None if the store is slow; the host continues with a watch."},
+		{StoreRestored, slog.LevelWarn, "store was restored from an older copy", "Check that operators' changes since the copy are written again; hosts and endpoints do so by themselves. See docs/OPERATIONS.md."},
+		{UpdateIgnored, slog.LevelInfo, "update of another incarnation of the store ignored", "None; the source was behind a restore of the store, or ahead of this host."},
 	},
 }
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"toucangap/internal/catalog"
 	"toucangap/internal/feed/feedpb"
 	"toucangap/internal/follow"
 	"toucangap/platform"
@@ -21,9 +22,8 @@
 	// Secret is the hosts' shared secret. Without it the peer is authenticated
 	// only by its address and does not send the secret.
 	Secret []byte
-	// Revision is the store's revision up to which this host's state is
-	// complete.
-	Revision uint64
+	// Progress is how much of the store's state this host has.
+	Progress follow.Progress
 	// PingInterval is the time between two pings, SilenceTimeout the longest
 	// time without a message from the peer, MaxAge the maximum age of its
 	// state.
@@ -48,7 +48,7 @@
 
 // Follow connects to a peer and receives its updates until the context ends,
 // the connection fails, or the peer's updates stop or are too old. It always
-// returns an error: ErrProof, ErrStale, the context's cause or that of the
+// returns an error: ErrProof, ErrStale, ErrBehind, the context's cause or that of the
 // connection.
 func (c *Client) Follow(ctx context.Context, peer follow.Host) error {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
@@ -113,7 +113,9 @@
 	if err := conn.receive(&challenge, handshakeTimeout); err != nil {
 		return err
 	}
-	subscribe := &feedpb.Subscribe{Revision: c.Revision}
+	subscribe := &feedpb.Subscribe{
+		Revision: c.Progress.Position.Revision, Incarnation: c.Progress.Position.Incarnation, Version: c.Progress.Version,
+	}
 	if len(c.Secret) > 0 {
 		if !hmac.Equal(challenge.Proof, computeProof(c.Secret, roleServer, nonce, challenge.Nonce)) {
 			return ErrProof
@@ -127,12 +129,17 @@
 }
 
 // receiveUpdate receives and delivers one update. The error is ErrStale if the
-// update, which is delivered nevertheless, is too old.
+// update, which is delivered nevertheless, is too old, and ErrBehind if the peer has
+// missed a restore of the store.
 func (c *Client) receiveUpdate(conn *connection, peer string) error {
 	var update feedpb.News
 	if err := conn.receive(&update, c.SilenceTimeout); err != nil {
 		return merry.Prepend(err, "read from the feed")
 	}
+	if update.Incarnation < c.Progress.Position.Incarnation {
+		return ErrBehind
+	}
+	c.Progress.Position.Incarnation = update.Incarnation
 	asOf := currentAsOf(&update)
 	c.OnBatch(batchFrom(&update, asOf))
 	if c.Exchange != nil {
@@ -156,13 +163,13 @@
 func batchFrom(update *feedpb.News, asOf time.Duration) follow.Batch {
 	b := follow.Batch{
 		Complete:      update.Complete,
-		Revision:      update.Revision,
+		Position:      catalog.Position{Incarnation: update.Incarnation, Revision: update.Revision},
 		AsOf:          asOf,
 		RecoveryGrace: time.Duration(update.UnsettledUs) * time.Microsecond,
 	}
 	for _, c := range update.Changes {
 		b.Changes = append(b.Changes, platform.Change{
-			Item:    platform.Item{Key: c.Key, Value: c.Value, Revision: c.Revision},
+			Item:    platform.Item{Key: c.Key, Value: c.Value, Revision: c.Revision, Incarnation: c.Incarnation},
 			Removed: c.Removed,
 		})
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -42,6 +42,8 @@
 var (
 	ErrProof = merry.Sentinel("peer failed to prove that it knows the shared secret")
 	ErrStale = merry.Sentinel("peer's state is too old")
+	// ErrBehind means that the peer has not seen a restore of the store yet.
+	ErrBehind = merry.Sentinel("peer's state is from before the store was restored")
 )
 
 // The roles are part of the proofs, so that a peer can't return a proof that it
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"toucangap/internal/catalog"
 	"toucangap/internal/event"
 	"toucangap/internal/feed/feedpb"
 	"toucangap/internal/follow"
@@ -24,9 +25,8 @@
 type Source interface {
 	// Secret returns the hosts' shared secret, nil if it isn't known yet.
 	Secret(ctx context.Context) []byte
-	// Since returns what a client whose state is complete up to the revision is
-	// missing.
-	Since(ctx context.Context, revision uint64) (follow.Batch, error)
+	// Since returns what a client with the given progress is missing.
+	Since(ctx context.Context, client follow.Progress) (follow.Batch, error)
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
@@ -87,7 +87,7 @@
 		s.refuse(raw, err)
 		return
 	}
-	event.Log(s.Logger, event.FeedServing, slog.String("host", c.host), slog.Uint64("revision", c.revision), slog.Bool("proven", c.authenticated))
+	event.Log(s.Logger, event.FeedServing, slog.String("host", c.host), slog.Uint64("incarnation", c.progress.Position.Incarnation), slog.Uint64("revision", c.progress.Position.Revision), slog.Bool("proven", c.authenticated))
 	pings := make(chan ping, 1)
 	go s.readPings(conn, c, pings)
 	err = s.feed(ctx, conn, c, pings)
@@ -121,7 +121,7 @@
 // client is a client after its handshake.
 type client struct {
 	host     string
-	revision uint64
+	progress follow.Progress
 	// authenticated means that it has proved that it knows the secret.
 	authenticated bool
 	// exchanges means that failure reports are exchanged with the client: it is
@@ -147,7 +147,14 @@
 	if err := conn.receive(&subscribe, handshakeTimeout); err != nil {
 		return c, err
 	}
-	c = client{host: hello.Host, revision: subscribe.Revision, authenticated: len(subscribe.Proof) > 0}
+	c = client{
+		host: hello.Host,
+		progress: follow.Progress{
+			Position: catalog.Position{Incarnation: subscribe.Incarnation, Revision: subscribe.Revision},
+			Version:  subscribe.Version,
+		},
+		authenticated: len(subscribe.Proof) > 0,
+	}
 	if c.authenticated && !hmac.Equal(subscribe.Proof, computeProof(secret, roleClient, nonce, hello.Nonce)) {
 		return c, ErrProof
 	}
@@ -171,14 +178,18 @@
 			added = s.Exchange.ReportAdded(c.host)
 		}
 		changed := s.Source.Changed()
-		batch, err := s.Source.Since(ctx, c.revision)
+		batch, err := s.Source.Since(ctx, c.progress)
 		if err != nil {
 			return err
 		}
+		if batch.Position.Incarnation < c.progress.Position.Incarnation {
+			return ErrBehind
+		}
 		if err := conn.send(s.newUpdate(&batch, last, c), writeTimeout); err != nil {
 			return err
 		}
-		c.revision = max(c.revision, batch.Revision)
+		c.progress.Position = c.progress.Position.Max(batch.Position)
+		c.progress.Version = max(c.progress.Version, batch.Version)
 		select {
 		case <-changed:
 		case <-added:
@@ -195,7 +206,8 @@
 	now := s.BootTime()
 	update := &feedpb.News{
 		Complete:    b.Complete,
-		Revision:    b.Revision,
+		Revision:    b.Position.Revision,
+		Incarnation: b.Position.Incarnation,
 		AgeUs:       (now - b.AsOf).Microseconds(),
 		UnsettledUs: b.RecoveryGrace.Microseconds(),
 		StampUs:     last.stampUs,
@@ -210,10 +222,11 @@
 			continue
 		}
 		update.Changes = append(update.Changes, &feedpb.Change{
-			Key:      change.Key,
-			Value:    change.Value,
-			Revision: change.Revision,
-			Removed:  change.Removed,
+			Key:         change.Key,
+			Value:       change.Value,
+			Revision:    change.Revision,
+			Incarnation: change.Incarnation,
+			Removed:     change.Removed,
 		})
 	}
 	return update
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"toucangap/internal/catalog"
 	"toucangap/internal/event"
 	"toucangap/platform"
 )
@@ -17,8 +18,13 @@
 type Store interface {
 	List(ctx context.Context, prefix, after string, stall time.Duration) (platform.Page, error)
 	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (platform.Changes, error)
+	// Incarnation returns the latest incarnation that a response has stated.
+	Incarnation() uint64
 }
 
+// errRestored means that a listing or watch was overtaken by a restore of the store.
+var errRestored = merry.Sentinel("store was restored from a copy")
+
 // minWait is the wait of a watch that returns at once with what has changed.
 const minWait = time.Millisecond
 
@@ -36,9 +42,9 @@
 	// OnBatch receives what was read from the store.
 	OnBatch func(Batch)
 
-	// cursor is the revision at which the next watch continues; 0 means that a
+	// cursor is the position at which the next watch continues; zero means that a
 	// listing is due.
-	cursor uint64
+	cursor catalog.Position
 	// partial is a listing of which pages are missing.
 	partial *listing
 	// listedOnce is set once a complete listing has been read since the start.
@@ -53,9 +59,9 @@
 	lost   bool
 }
 
-// Resume lets the next step continue from the revision, up to which another
+// Resume lets the next step continue from the position, up to which another
 // source has brought changes meanwhile.
-func (f *Follower) Resume(revision uint64) { f.cursor = max(f.cursor, revision) }
+func (f *Follower) Resume(position catalog.Position) { f.cursor = f.cursor.Max(position) }
 
 // Lost reports whether the last call failed.
 func (f *Follower) Lost() bool { return f.lost }
@@ -79,9 +85,9 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, errRestored) {
 		// The next step, without delay, is a listing.
-		f.cursor = 0
+		f.cursor, f.partial = catalog.Position{}, nil
 		return 0
 	}
 	if err != nil {
@@ -92,7 +98,7 @@
 }
 
 func (f *Follower) call(ctx context.Context, wait time.Duration) error {
-	if f.cursor == 0 {
+	if f.cursor.IsZero() || f.Store.Incarnation() > f.cursor.Incarnation {
 		return f.list(ctx)
 	}
 	return f.watch(ctx, wait)
@@ -101,7 +107,7 @@
 func (f *Follower) failed(started time.Duration, err error) time.Duration {
 	if !f.lost {
 		f.lost, f.lostAt = true, started
-		event.Log(f.Logger, event.StoreLost, slog.String("error", err.Error()), slog.Uint64("revision", f.cursor))
+		event.Log(f.Logger, event.StoreLost, slog.String("error", err.Error()), logPosition(f.cursor))
 	}
 	return f.backoff.Next()
 }
@@ -143,8 +149,11 @@
 			return err
 		}
 		f.lastResponse.Store(int64(f.BootTime()))
-		if l.batch.Revision == 0 {
-			l.batch.Revision = page.Revision
+		if l.batch.Position.IsZero() {
+			l.batch.Position = page.Position()
+		}
+		if page.Incarnation != l.batch.Position.Incarnation {
+			return errRestored
 		}
 		for _, item := range page.Items {
 			l.batch.Changes = append(l.batch.Changes, platform.Change{Item: item})
@@ -152,10 +161,12 @@
 		}
 		if !page.More || len(page.Items) == 0 {
 			f.partial, f.listedOnce = nil, true
-			f.cursor = l.batch.Revision
+			f.cursor = l.batch.Position
 			l.batch.Reconnected = f.reconnected()
-			f.catchUp(ctx, &l.batch)
-			event.Log(f.Logger, event.StoreListed, slog.Int("keys", len(l.batch.Changes)), slog.Uint64("revision", l.batch.Revision))
+			if err := f.catchUp(ctx, &l.batch); err != nil {
+				return err
+			}
+			event.Log(f.Logger, event.StoreListed, slog.Int("keys", len(l.batch.Changes)), logPosition(l.batch.Position))
 			f.OnBatch(l.batch)
 			return nil
 		}
@@ -183,22 +194,27 @@
 }
 
 // catchUp adds to a slow listing what has changed since its first page, so that
-// a host does not start with an old configuration.
-func (f *Follower) catchUp(ctx context.Context, b *Batch) {
+// a host does not start with an old configuration. The error is errRestored if the
+// store was restored meanwhile.
+func (f *Follower) catchUp(ctx context.Context, b *Batch) error {
 	started := f.BootTime()
 	if started-b.AsOf <= f.Timings.MinInterval {
-		return
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.Timings.CallTimeout)
 	defer cancel()
-	changes, err := f.Store.Watch(ctx, platform.AllKeys, b.Revision, minWait)
+	changes, err := f.Store.Watch(ctx, platform.AllKeys, b.Position.Revision, minWait)
+	if f.Store.Incarnation() > b.Position.Incarnation {
+		return errRestored
+	}
 	if err != nil {
 		// The batch states its age, and the next step is a watch again.
 		event.Log(f.Logger, event.ListingStale, slog.Duration("age", f.BootTime()-b.AsOf), slog.String("error", err.Error()))
-		return
+		return nil
 	}
 	b.Later, b.AsOf = changes.Changes, started
-	f.cursor = max(f.cursor, changes.Revision)
+	f.cursor = f.cursor.Max(changes.Position())
+	return nil
 }
 
 // watch waits for changes. An answer without changes is current as of the end
@@ -207,19 +223,23 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+f.Timings.WatchSlack)
 	defer cancel()
 	started := f.BootTime()
-	changes, err := f.Store.Watch(ctx, platform.AllKeys, f.cursor, wait)
+	changes, err := f.Store.Watch(ctx, platform.AllKeys, f.cursor.Revision, wait)
 	if err != nil {
 		return err
 	}
+	if changes.Incarnation != f.cursor.Incarnation {
+		// The revisions since the cursor are of other changes.
+		return errRestored
+	}
 	f.lastResponse.Store(int64(f.BootTime()))
 	asOf := started
 	if len(changes.Changes) == 0 {
 		asOf = min(started+wait, f.BootTime())
 	}
-	f.cursor = max(f.cursor, changes.Revision)
+	f.cursor = f.cursor.Max(changes.Position())
 	f.OnBatch(Batch{
 		Changes:     changes.Changes,
-		Revision:    f.cursor,
+		Position:    f.cursor,
 		AsOf:        asOf,
 		Reconnected: f.reconnected(),
 	})
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -30,19 +30,19 @@
 		if h, ok := r.hosts[name]; ok {
 			delete(r.hosts, name)
 			r.absences[name] = absence{domain: h.Domain, removedAt: now}
-			event.Log(r.logger, event.HostUnregistered, slog.String("host", name), slog.Uint64("revision", c.Revision))
+			event.Log(r.logger, event.HostUnregistered, slog.String("host", name), logPosition(c.Position()))
 		}
 		return
 	}
 	var h Host
 	if err := json.Unmarshal(c.Value, &h); err != nil || h.Name != name || !h.Feed.IsValid() {
-		event.Log(r.logger, event.EntryInvalid, slog.String("host", name), slog.Uint64("revision", c.Revision))
+		event.Log(r.logger, event.EntryInvalid, slog.String("host", name), logPosition(c.Position()))
 		delete(r.hosts, name)
 		return
 	}
 	if r.hosts[name] != h {
 		event.Log(r.logger, event.HostListed, slog.String("host", name), slog.String("domain", h.Domain),
-			slog.String("feed", h.Feed.String()), slog.Uint64("revision", c.Revision))
+			slog.String("feed", h.Feed.String()), logPosition(c.Position()))
 	}
 	r.hosts[name] = h
 	if a, ok := r.absences[name]; ok && !a.returned {
@@ -120,8 +120,12 @@
 	return hosts
 }
 
-// Secret returns the secret that hosts share, or nil.
-func (r *Replica) Secret() []byte { return r.secret }
+// Secret returns the secret that hosts share, or nil, and whether the store holds
+// one. A store that was restored from a copy may have lost it.
+func (r *Replica) Secret() (secret []byte, stored bool) {
+	item, known := r.items[platform.SecretKey]
+	return r.secret, known && !item.removed
+}
 
 // maxOuterUpstreams bounds the hosts of other failure domains that are tried
 // before a host follows the store itself.
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"toucangap/internal/catalog"
@@ -23,11 +24,13 @@
 	// Complete means that keys that are not among the changes don't exist.
 	Complete bool
 	Changes  []platform.Change
-	// Later holds the changes after Revision that were made while a slow listing
+	// Later holds the changes after Position that were made while a slow listing
 	// was read.
 	Later []platform.Change
-	// Revision is the store's revision up to which the batch is complete.
-	Revision uint64
+	// Position is the store's position up to which the batch is complete.
+	Position catalog.Position
+	// Version is that of the source's configuration, if the source is a peer.
+	Version uint64
 	// AsOf is the time, on the boot-time clock, as of which the batch is
 	// current: the source has missed no earlier change.
 	AsOf time.Duration
@@ -37,10 +40,19 @@
 	RecoveryGrace time.Duration
 }
 
+// Progress is how much of the store's state a host has.
+type Progress struct {
+	// Position is the store's position up to which its state is complete; zero if it
+	// has none.
+	Position catalog.Position
+	// Version is that of its configuration in force, 0 if it has none.
+	Version uint64
+}
+
 // keyState is the last known state of a key.
 type keyState struct {
 	value    []byte
-	revision uint64
+	position catalog.Position
 	removed  bool
 	// removedAt is when the removal was received, on the monotonic clock.
 	removedAt time.Duration
@@ -59,10 +71,15 @@
 	absences map[string]absence
 	secret   []byte
 	asOf     time.Duration
-	// compacted is the highest revision of a removal that has been discarded.
-	compacted uint64
+	// inForce is the write of the configuration in force. A restored store may hold
+	// an older one.
+	inForce platform.Change
+	// compacted is the latest position of a removal that has been discarded.
+	compacted catalog.Position
 	// history is how long removals are kept.
 	history time.Duration
+	// restores counts the incarnations of the store after the first.
+	restores int64
 }
 
 // NewReplica returns an empty replica. Flows of removed endpoints are forwarded
@@ -80,8 +97,18 @@
 }
 
 // Apply applies a batch and reports whether a view made before is out of date. The
-// time is on the monotonic clock.
+// time is on the monotonic clock. A batch of an earlier incarnation of the store is
+// ignored, also as to how current it is; one of a later incarnation must be complete.
 func (r *Replica) Apply(now time.Duration, b Batch) (changed bool) {
+	known := r.directory.Position()
+	restored := b.Position.Incarnation > known.Incarnation && !known.IsZero()
+	if b.Position.Incarnation < known.Incarnation || restored && !b.Complete {
+		event.Log(r.logger, event.UpdateIgnored, logPosition(b.Position), slog.Uint64("current", known.Incarnation))
+		return false
+	}
+	if restored {
+		r.startIncarnation(now, b)
+	}
 	if b.Reconnected {
 		r.directory.StartRecoveryGrace(now)
 	}
@@ -98,27 +125,40 @@
 		if r.applyChange(now, &b.Later[i]) {
 			changed = true
 		}
-		r.directory.Advance(b.Later[i].Revision)
-	}
-	if b.Revision > r.directory.Revision() {
-		r.directory.Advance(b.Revision)
+		r.directory.Advance(b.Later[i].Position())
 	}
+	r.directory.Advance(b.Position)
 	if b.AsOf > r.asOf {
 		r.asOf = b.AsOf
 	}
 	return changed
 }
 
+// startIncarnation prepares for the first, complete batch of a restored store. What
+// other writers wrote since the copy is written again soon, so a recovery grace
+// period starts for what is missing.
+func (r *Replica) startIncarnation(now time.Duration, b Batch) {
+	known := r.directory.Position()
+	r.directory.StartRecoveryGrace(now)
+	r.restores++
+	event.Log(r.logger, event.StoreRestored,
+		logPosition(b.Position), slog.Uint64("previous_incarnation", known.Incarnation),
+		slog.Uint64("previous_revision", known.Revision), slog.Int("keys", len(b.Changes)),
+		slog.Int("keys_missing", len(r.unlisted(b))))
+}
+
 // applyChange applies a change unless a newer one of its key is known.
 func (r *Replica) applyChange(now time.Duration, c *platform.Change) bool {
+	kind, name := platform.Classify(c.Key)
 	old, known := r.items[c.Key]
-	if known && old.revision >= c.Revision || !known && c.Revision <= r.compacted {
+	position := c.Position()
+	if known && !position.After(old.position) || !known && !position.After(r.compacted) {
 		// An unknown key's removal may be among the discarded ones, so a change that
-		// is no newer than those is ignored.
-		return false
+		// is no newer than those is ignored. A configuration may come from a host
+		// that knows a later version than a restored store.
+		return kind == platform.KindConfiguration && !c.Removed && r.applyConfiguration(c)
 	}
-	r.items[c.Key] = keyState{value: c.Value, revision: c.Revision, removed: c.Removed, removedAt: now}
-	kind, name := platform.Classify(c.Key)
+	r.items[c.Key] = keyState{value: c.Value, position: position, removed: c.Removed, removedAt: now}
 	switch kind {
 	case platform.KindConfiguration:
 		return r.applyConfiguration(c)
@@ -127,7 +167,10 @@
 	case platform.KindHost:
 		r.applyHost(now, name, c)
 	case platform.KindSecret:
-		r.secret = c.Value
+		// A secret that a restored store has lost stays: a host writes it again.
+		if !c.Removed {
+			r.secret = c.Value
+		}
 	}
 	return false
 }
@@ -135,43 +178,55 @@
 // removeUnlisted removes the keys that a complete listing did not contain. Keys
 // that are newer than the listing stay.
 func (r *Replica) removeUnlisted(now time.Duration, b Batch) (changed bool) {
+	for _, key := range r.unlisted(b) {
+		removal := platform.Change{
+			Item:    platform.Item{Key: key, Revision: b.Position.Revision, Incarnation: b.Position.Incarnation},
+			Removed: true,
+		}
+		if r.applyChange(now, &removal) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// unlisted returns the known keys that a complete listing does not contain and that
+// are not newer than it.
+func (r *Replica) unlisted(b Batch) (keys []string) {
 	listed := make(map[string]bool, len(b.Changes))
 	for i := range b.Changes {
 		listed[b.Changes[i].Key] = true
 	}
 	for key, item := range r.items {
-		if listed[key] || item.removed || item.revision > b.Revision {
-			continue
-		}
-		removal := platform.Change{Item: platform.Item{Key: key, Revision: b.Revision}, Removed: true}
-		if r.applyChange(now, &removal) {
-			changed = true
+		if !listed[key] && !item.removed && !item.position.After(b.Position) {
+			keys = append(keys, key)
 		}
 	}
-	return changed
+	return keys
 }
 
 func (r *Replica) applyConfiguration(c *platform.Change) bool {
 	if c.Removed {
 		// Operators never withdraw a configuration, so the last one stays in
 		// force.
-		event.Log(r.logger, event.ConfigurationRefused, slog.String("error", "key removed"), slog.Uint64("revision", c.Revision))
+		event.Log(r.logger, event.ConfigurationRefused, slog.String("error", "key removed"), logPosition(c.Position()))
 		return false
 	}
 	configuration, routeErrors, err := platform.DecodeConfiguration(c.Value)
 	if err != nil {
-		event.Log(r.logger, event.ConfigurationRefused, slog.String("error", err.Error()), slog.Uint64("revision", c.Revision))
+		event.Log(r.logger, event.ConfigurationRefused, slog.String("error", err.Error()), logPosition(c.Position()))
 		return false
 	}
 	for _, routeError := range routeErrors {
 		event.Log(r.logger, event.RouteInvalid, slog.String("error", routeError.Error()), slog.Uint64("version", configuration.Version))
 	}
-	if !r.directory.SetConfiguration(configuration, c.Revision) {
+	if !r.directory.SetConfiguration(configuration) {
 		return false
 	}
+	r.inForce = *c
 	event.Log(r.logger, event.ConfigurationInForce,
 		slog.Uint64("version", configuration.Version),
-		slog.Uint64("revision", c.Revision),
+		logPosition(c.Position()),
 		slog.Int("routes", len(configuration.Routes)),
 		slog.Int("services", len(configuration.Services)))
 	return true
@@ -179,10 +234,10 @@
 
 func (r *Replica) applyEndpoint(now time.Duration, id string, c *platform.Change) bool {
 	if c.Removed {
-		removed := r.directory.RemoveEndpoint(now, id, c.Revision)
+		removed := r.directory.RemoveEndpoint(now, id, c.Position())
 		if removed {
 			event.Log(r.logger, event.EndpointRemoved, slog.String("endpoint", id),
-				slog.Uint64("revision", c.Revision),
+				logPosition(c.Position()),
 				slog.Duration("held_for", r.directory.RecoveryGraceLeft(now)))
 		}
 		return removed
@@ -190,21 +245,26 @@
 	e, err := platform.DecodeEndpoint(id, c.Value)
 	if err != nil {
 		event.Log(r.logger, event.EntryInvalid, slog.String("endpoint", id),
-			slog.Uint64("revision", c.Revision), slog.String("error", err.Error()))
-		return r.directory.RemoveEndpoint(now, id, c.Revision)
+			logPosition(c.Position()), slog.String("error", err.Error()))
+		return r.directory.RemoveEndpoint(now, id, c.Position())
 	}
-	r.logEndpoint(e, c.Revision)
-	return r.directory.PutEndpoint(now, e, c.Revision)
+	r.logEndpoint(e, c.Position())
+	return r.directory.PutEndpoint(now, e, c.Position())
 }
 
-func (r *Replica) logEndpoint(e *catalog.Endpoint, revision uint64) {
+func (r *Replica) logEndpoint(e *catalog.Endpoint, position catalog.Position) {
 	id := event.EndpointListed
 	if e.Draining {
 		id = event.EndpointDraining
 	}
 	event.Log(r.logger, id, slog.String("endpoint", e.ID), slog.String("service", e.Service),
 		slog.String("address", e.Address.String()), slog.String("domain", e.Domain),
-		slog.Uint64("revision", revision), slog.Duration("cold_for", e.ColdFor))
+		logPosition(position), slog.Duration("cold_for", e.ColdFor))
+}
+
+// logPosition returns a position as two attributes.
+func logPosition(p catalog.Position) slog.Attr {
+	return slog.Group("", slog.Uint64("incarnation", p.Incarnation), slog.Uint64("revision", p.Revision))
 }
 
 // View returns an immutable view of the current state.
@@ -216,37 +276,60 @@
 	for key, item := range r.items {
 		if item.removed && now >= item.removedAt+r.history {
 			delete(r.items, key)
-			r.compacted = max(r.compacted, item.revision)
+			r.compacted = r.compacted.Max(item.position)
 		}
 	}
 	return r.directory.Expire(now)
 }
 
-// Revision returns the store's revision up to which the state is complete.
-func (r *Replica) Revision() uint64 { return r.directory.Revision() }
+// Progress returns how much of the store's state the replica has.
+func (r *Replica) Progress() Progress {
+	p := Progress{Position: r.directory.Position()}
+	if c := r.directory.Configuration(); c != nil {
+		p.Version = c.Version
+	}
+	return p
+}
+
+// Restores returns how often the store was restored from a copy since the start.
+func (r *Replica) Restores() int64 { return r.restores }
 
 // AsOf returns the time as of which the replica is current, on the boot-time
 // clock.
 func (r *Replica) AsOf() time.Duration { return r.asOf }
 
-// Since returns what a peer that is complete up to the revision is missing. The
-// batch is complete, without removals, if the peer has no state yet or if a
-// removal that it may be missing was discarded.
-func (r *Replica) Since(now time.Duration, revision uint64) Batch {
+// Since returns what a peer with the given progress is missing. The batch is
+// complete, without removals, if the peer has no state of this incarnation of the
+// store or if a removal that it may be missing was discarded.
+func (r *Replica) Since(now time.Duration, peer Progress) Batch {
+	own := r.directory.Position()
 	b := Batch{
-		Complete:      revision == 0 || revision < r.compacted,
-		Revision:      r.directory.Revision(),
+		Complete: peer.Position.IsZero() || peer.Position.Incarnation != own.Incarnation ||
+			r.compacted.After(peer.Position),
+		Position:      own,
 		AsOf:          r.asOf,
 		RecoveryGrace: r.directory.RecoveryGraceLeft(now),
 	}
 	for key, item := range r.items {
-		if b.Complete && item.removed || !b.Complete && item.revision <= revision {
+		if b.Complete && item.removed || !b.Complete && !item.position.After(peer.Position) {
 			continue
 		}
 		b.Changes = append(b.Changes, platform.Change{
-			Item:    platform.Item{Key: key, Value: item.value, Revision: item.revision},
+			Item: platform.Item{
+				Key: key, Value: item.value, Revision: item.position.Revision, Incarnation: item.position.Incarnation,
+			},
 			Removed: item.removed,
 		})
 	}
+	b.Version = r.Progress().Version
+	if b.Version > peer.Version && !containsChange(b.Changes, &r.inForce) {
+		b.Changes = append(b.Changes, r.inForce)
+	}
 	return b
 }
+
+func containsChange(list []platform.Change, c *platform.Change) bool {
+	return slices.ContainsFunc(list, func(other platform.Change) bool {
+		return other.Key == c.Key && other.Position() == c.Position()
+	})
+}
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -79,9 +79,9 @@
 	// Waited is the time since the host first saw the flow.
 	Waited time.Duration
 	Choice balance.Choice
-	// Version is that of the configuration, Revision that of the view.
+	// Version is that of the configuration, Position that of the view.
 	Version  uint64
-	Revision uint64
+	Position catalog.Position
 }
 
 // Ending is a flow that its caller closed or that has reached a time limit.
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -146,7 +146,7 @@
 		Route:    route,
 		Service:  service,
 		Version:  r.view.Configuration.Version,
-		Revision: r.view.Revision,
+		Position: r.view.Position,
 	}
 }
 
@@ -159,7 +159,7 @@
 func (r *Relay) reject(now time.Duration, p Placement, acknowledgement uint32, reason Rejection) {
 	r.stats.Rejections[reason]++
 	if p.Version == 0 {
-		p.Version, p.Revision = r.view.Configuration.Version, r.view.Revision
+		p.Version, p.Position = r.view.Configuration.Version, r.view.Position
 	}
 	r.options.Output.Reset(p.Flow, acknowledgement)
 	r.options.Observer.Rejected(now, p, reason)
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -22,6 +22,8 @@
 	// asOf is the time as of which the replica is current, in nanoseconds on the
 	// boot-time clock.
 	asOf atomic.Int64
+	// restores is how often the store was restored from a copy since the start.
+	restores atomic.Int64
 	// onPublish is called after each new view.
 	onPublish func()
 
@@ -85,6 +87,7 @@
 	c.do(ctx, func() {
 		previous := c.replica.AsOf()
 		changed := c.replica.Apply(c.clock.Monotonic(), b)
+		c.restores.Store(c.replica.Restores())
 		asOf := c.replica.AsOf()
 		c.asOf.Store(int64(asOf))
 		if changed {
@@ -118,9 +121,9 @@
 }
 
 // Since implements feed.Source.
-func (c *control) Since(ctx context.Context, revision uint64) (follow.Batch, error) {
+func (c *control) Since(ctx context.Context, client follow.Progress) (follow.Batch, error) {
 	var b follow.Batch
-	if !c.do(ctx, func() { b = c.replica.Since(c.clock.Monotonic(), revision) }) {
+	if !c.do(ctx, func() { b = c.replica.Since(c.clock.Monotonic(), client) }) {
 		return b, context.Cause(ctx)
 	}
 	return b, nil
@@ -128,10 +131,16 @@
 
 // Secret implements feed.Source.
 func (c *control) Secret(ctx context.Context) (secret []byte) {
-	c.do(ctx, func() { secret = c.replica.Secret() })
+	secret, _ = c.secret(ctx)
 	return secret
 }
 
+// secret returns the hosts' shared secret, or nil, and whether the store holds one.
+func (c *control) secret(ctx context.Context) (secret []byte, stored bool) {
+	c.do(ctx, func() { secret, stored = c.replica.Secret() })
+	return secret, stored
+}
+
 // hosts returns the registered hosts.
 func (c *control) hosts(ctx context.Context) (hosts []follow.Host) {
 	c.do(ctx, func() { hosts = c.replica.Hosts() })
@@ -144,11 +153,10 @@
 	return ok, restarting
 }
 
-// revision returns the store's revision up to which the replica is complete, 0 if
-// nothing has been received yet.
-func (c *control) revision(ctx context.Context) (revision uint64) {
-	c.do(ctx, func() { revision = c.replica.Revision() })
-	return revision
+// progress returns how much of the store's state the replica has.
+func (c *control) progress(ctx context.Context) (p follow.Progress) {
+	c.do(ctx, func() { p = c.replica.Progress() })
+	return p
 }
 
 // age returns the time since the replica was last known to be current.
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"toucangap/internal/catalog"
 	"toucangap/internal/relay"
 )
 
@@ -25,12 +26,15 @@
 	functional("packets_malformed", d.traffic.malformed.Load)
 	functional("datagrams_not_sent", d.traffic.sendErrors.Load)
 	functional("view_age_milliseconds", func() int64 { return d.control.age().Milliseconds() })
-	functional("view_revision", func() int64 {
+	viewPosition := func() catalog.Position {
 		if v := d.control.view.Load(); v != nil {
-			return int64(v.Revision)
+			return v.Position
 		}
-		return 0
-	})
+		return catalog.Position{}
+	}
+	functional("view_revision", func() int64 { return int64(viewPosition().Revision) })
+	functional("view_incarnation", func() int64 { return int64(viewPosition().Incarnation) })
+	functional("store_restores", d.control.restores.Load)
 }
 
 // updateRelayGauges publishes a snapshot of the relay's counters.
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -88,7 +88,8 @@
 		slog.String("route", p.Route),
 		slog.String("service", p.Service),
 		slog.Uint64("version", p.Version),
-		slog.Uint64("revision", p.Revision),
+		slog.Uint64("incarnation", p.Position.Incarnation),
+		slog.Uint64("revision", p.Position.Revision),
 		slog.Uint64("copy", uint64(p.Retransmissions)),
 	}
 	if e := p.Choice.Endpoint; e != nil {
@@ -155,7 +156,7 @@
 func (o *observer) TakenOver(now time.Duration, f catalog.Flow, e *catalog.Entry) {
 	if o.allows(now, o.noteworthy) {
 		event.Log(o.logger, event.FlowTakenOver, slog.String("flow", f.String()), slog.String("endpoint", e.ID),
-			slog.Bool("listed", e.Listed), slog.Uint64("entry_revision", e.Revision))
+			slog.Bool("listed", e.Listed), slog.Uint64("entry_revision", e.Position.Revision))
 	}
 }
 
--- a/internal/relayd/registrar.go
+++ b/internal/relayd/registrar.go
@@ -5,9 +5,11 @@
 	"crypto/rand"
 	"errors"
 	"log/slog"
+	mathrand "math/rand/v2"
 	"slices"
 	"time"
 
+	"toucangap/internal/catalog"
 	"toucangap/internal/event"
 	"toucangap/internal/follow"
 	"toucangap/platform"
@@ -29,6 +31,9 @@
 	secretBytes = 32
 	// callTimeout bounds one call to the store.
 	callTimeout = time.Second
+	// reregistrationSpread is the time over which hosts register again after a
+	// restore of the store: with some hundred hosts, a few hundred calls a second.
+	reregistrationSpread = 2 * time.Second
 	// registrationRetry is the wait after a failed call: callers' requests do
 	// not depend on the registration.
 	registrationRetry = 2 * time.Second
@@ -43,6 +48,36 @@
 	// shortestLease is the shortest lease that the store grants.
 	shortestLease time.Duration
 	lease         platform.Lease
+	// registeredAt is the position of the registration; zero if it is not known
+	// whether the store has it.
+	registeredAt catalog.Position
+	// stop ends run, which closes ended when it returns.
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// start keeps the host registered, in the background, once it has received the
+// store's state, until deregister is called or the context ends.
+func (r *registrar) start(ctx context.Context) {
+	ctx, r.stop = context.WithCancel(ctx)
+	r.ended = make(chan struct{})
+	go func() {
+		defer close(r.ended)
+		r.awaitState(ctx)
+		r.run(ctx)
+	}()
+}
+
+// awaitState waits until the host has received the store's state from any source.
+func (r *registrar) awaitState(ctx context.Context) {
+	for r.control.progress(ctx).Position.IsZero() && ctx.Err() == nil {
+		changed := r.control.Changed()
+		select {
+		case <-changed:
+		case <-time.After(registrationRetry):
+		case <-ctx.Done():
+		}
+	}
 }
 
 // run keeps the host registered until the context ends.
@@ -62,8 +97,8 @@
 	}
 }
 
-// register writes the host's key under a new lease, and a shared secret if
-// there is none.
+// register writes the host's key under a new lease, and a shared secret if the
+// store holds none.
 func (r *registrar) register(ctx context.Context) error {
 	value, err := r.host.Encode()
 	if err != nil {
@@ -71,25 +106,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
-	if r.control.Secret(ctx) == nil {
-		if err := r.createSecret(ctx); err != nil {
+	if secret, stored := r.control.secret(ctx); !stored {
+		if err := r.createSecret(ctx, secret); err != nil {
 			return err
 		}
 	}
 	if r.lease, err = r.store.Grant(ctx, max(registrationTTL, r.shortestLease)); err != nil {
 		return err
 	}
-	_, err = r.store.Commit(ctx, platform.Transaction{
+	r.registeredAt = catalog.Position{}
+	r.registeredAt, err = r.store.Commit(ctx, platform.Transaction{
 		Puts: []platform.Put{{Key: platform.HostKey(r.host.Name), Value: value, Lease: r.lease.ID}},
 	})
 	return err
 }
 
-// createSecret writes a new shared secret unless there is one.
-func (r *registrar) createSecret(ctx context.Context) error {
-	secret := make([]byte, secretBytes)
-	// Read of crypto/rand never fails.
-	_, _ = rand.Read(secret)
+// createSecret writes a shared secret unless there is one: the known one, which the
+// store has lost in a restore, or a new one.
+func (r *registrar) createSecret(ctx context.Context, known []byte) error {
+	secret := known
+	if secret == nil {
+		secret = make([]byte, secretBytes)
+		// Read of crypto/rand never fails.
+		_, _ = rand.Read(secret)
+	}
 	_, err := r.store.Commit(ctx, platform.Transaction{
 		Conditions: []platform.Condition{{Key: platform.SecretKey}},
 		Puts:       []platform.Put{{Key: platform.SecretKey, Value: secret}},
@@ -109,6 +149,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if r.control.progress(ctx).Position.Incarnation > r.lease.Incarnation {
+			// The store was restored and may have lost the lease and the key.
+			sleep(ctx, mathrand.N(reregistrationSpread))
+			return
+		}
 		if !r.registered(ctx) {
 			// The lease has expired unnoticed, or the key was deleted.
 			return
@@ -117,7 +162,7 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := r.store.Renew(call, r.lease.ID)
+		err := r.store.Renew(call, r.lease)
 		cancel()
 		if errors.Is(err, platform.ErrNotFound) {
 			return
@@ -139,14 +184,25 @@
 	return slices.ContainsFunc(r.control.hosts(ctx), func(h follow.Host) bool { return h == r.host })
 }
 
-// deregister revokes the lease of the registration, which removes the host's key.
+// deregister ends run, which would otherwise register the leaving host again, and
+// removes the host's key unless it has changed since the registration: a
+// call that is executed late must not remove the registration of the host's next
+// process. The lease is not revoked, as a restored store may have granted its ID to
+// another host.
 func (r *registrar) deregister(ctx context.Context) {
+	r.stop()
+	<-r.ended
 	if r.lease.ID == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := r.store.Revoke(ctx, r.lease.ID); err != nil {
+	key := platform.HostKey(r.host.Name)
+	removal := platform.Transaction{Removals: []string{key}}
+	if !r.registeredAt.IsZero() {
+		removal.Conditions = []platform.Condition{{Key: key, Revision: r.registeredAt.Revision}}
+	}
+	if _, err := r.store.Commit(ctx, removal); err != nil {
 		event.Log(r.logger, event.HostAnnounceFailed, slog.String("error", err.Error()))
 	}
 }
--- /dev/null
+++ b/internal/relayd/registrar_test.go
@@ -0,0 +1,107 @@
+package relayd
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangap/internal/catalog"
+	"toucangap/internal/event"
+	"toucangap/internal/follow"
+	"toucangap/platform"
+)
+
+// registrarStore responds to a registrar's calls, reports them, and states the
+// incarnation.
+type registrarStore struct {
+	incarnation string
+	calls       chan string
+}
+
+func (s *registrarStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Store-Era", s.incarnation)
+	_, _ = io.WriteString(w, `{"Lease":7,"TtlMs":20000,"Revision":9}`)
+	s.calls <- fmt.Sprintf("%s %s", r.URL.Path, body)
+}
+
+// announced is an io.Writer of log lines that reports each registration.
+type announced chan struct{}
+
+func (a announced) Write(line []byte) (int, error) {
+	if strings.Contains(string(line), fmt.Sprintf("event=%d ", event.HostAnnounced)) {
+		a <- struct{}{}
+	}
+	return len(line), nil
+}
+
+// startRegistrar starts the registrar of host a, with the replica's state given, and
+// waits until it is registered. It returns the calls that this took.
+func startRegistrar(t *testing.T, s *registrarStore, state follow.Batch) (r *registrar, c *control, calls string) {
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	registered := make(announced, 1)
+	logger := slog.New(slog.NewTextHandler(registered, nil))
+	c = newControl(newClock(), logger, time.Minute, time.Minute)
+	c.onPublish = func() {}
+	go c.run(t.Context())
+	c.apply(t.Context(), state)
+	r = &registrar{
+		host:    follow.Host{Name: "a", Domain: "d", Feed: netip.MustParseAddrPort("127.0.0.1:1")},
+		store:   platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String())),
+		control: c, logger: logger, shortestLease: time.Second,
+	}
+	r.start(t.Context())
+	<-registered
+	for len(s.calls) > 0 {
+		calls += <-s.calls + "\n"
+	}
+	return r, c, calls
+}
+
+// TestStoppingHostDoesNotRegisterAgain: a host that is shutting down sees that its
+// registration is gone from the store, and must not take that for a lapsed lease. It
+// removes the key only as it wrote it, and never by the lease's ID.
+func TestStoppingHostDoesNotRegisterAgain(t *testing.T) {
+	s := &registrarStore{incarnation: "1", calls: make(chan string, 10)}
+	secret := platform.Change{Item: platform.Item{Key: platform.SecretKey, Value: []byte("s"), Revision: 4, Incarnation: 1}}
+	r, _, calls := startRegistrar(t, s, follow.Batch{
+		Complete: true, Position: catalog.Position{Incarnation: 1, Revision: 5}, Changes: []platform.Change{secret},
+	})
+	require.Contains(t, calls, `"Puts":[{"Key":"toucangap/hosts/a"`)
+	r.deregister(t.Context())
+	removal := <-s.calls
+	require.Contains(t, removal, `"ExpectedRevision":[{"Key":"toucangap/hosts/a","Revision":9}]`)
+	require.Contains(t, removal, `"Remove":["toucangap/hosts/a"]`)
+	select {
+	case <-r.ended:
+	default:
+		t.Fatal("the registrar still runs")
+	}
+}
+
+// TestLostSecretIsWrittenAgain: a restored store has lost the hosts' secret. A host
+// that registers writes the one that the hosts use, not a new one.
+func TestLostSecretIsWrittenAgain(t *testing.T) {
+	s := &registrarStore{incarnation: "2", calls: make(chan string, 10)}
+	secret := platform.Change{Item: platform.Item{Key: platform.SecretKey, Value: []byte("known"), Revision: 4, Incarnation: 1}}
+	r, c, _ := startRegistrar(t, s, follow.Batch{
+		Complete: true, Position: catalog.Position{Incarnation: 1, Revision: 5}, Changes: []platform.Change{secret},
+	})
+	r.deregister(t.Context())
+	<-s.calls
+	c.apply(t.Context(), follow.Batch{Complete: true, Position: catalog.Position{Incarnation: 2, Revision: 3}})
+	again := &registrar{host: r.host, store: r.store, control: c, logger: r.logger, shortestLease: time.Second}
+	again.start(t.Context())
+	written := <-s.calls
+	require.True(t, strings.Contains(written, `"Value":"a25vd24="`), written)
+	require.Contains(t, written, `"ExpectedRevision":[{"Key":"toucangap/secret","Revision":0}]`)
+}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -166,7 +166,7 @@
 	start(func() error { return d.traffic.run() })
 	go d.syncer().run(ctx)
 	go d.exchange.run(ctx)
-	go d.register(ctx)
+	d.registrar.start(ctx)
 	<-ctx.Done()
 	d.traffic.stop()
 	d.feedListener.Close()
@@ -195,6 +195,7 @@
 		seeds:    d.settings.Seeds,
 		clock:    d.clock,
 		control:  d.control,
+		store:    d.store,
 		exchange: d.exchange,
 		timings:  d.timings,
 		logger:   d.logger,
@@ -209,17 +210,3 @@
 	}
 	return s
 }
-
-// register keeps the host registered once it has received the store's state from
-// any source.
-func (d *Daemon) register(ctx context.Context) {
-	for d.control.revision(ctx) == 0 && ctx.Err() == nil {
-		changed := d.control.Changed()
-		select {
-		case <-changed:
-		case <-time.After(registrationRetry):
-		case <-ctx.Done():
-		}
-	}
-	d.registrar.run(ctx)
-}
--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -10,6 +10,7 @@
 	"toucangap/internal/event"
 	"toucangap/internal/feed"
 	"toucangap/internal/follow"
+	"toucangap/platform"
 )
 
 // peerCooldown is how long a host is not tried again after its feed has ended or
@@ -24,6 +25,7 @@
 	seeds    []netip.AddrPort
 	clock    *clock
 	control  *control
+	store    *platform.Store
 	exchange *exchange
 	follower *follow.Follower
 	timings  follow.Timings
@@ -66,7 +68,7 @@
 // complete state is large, and many hosts may start at once.
 func (s *syncer) bootstrap(ctx context.Context) {
 	order := rand.Perm(len(s.seeds))
-	for i := 0; ctx.Err() == nil && len(order) > 0 && s.control.revision(ctx) == 0; {
+	for i := 0; ctx.Err() == nil && len(order) > 0 && s.control.progress(ctx).Position.IsZero(); {
 		if s.clock.BootTime()-s.follower.LastResponse() < seedDelay {
 			sleep(ctx, seedPollInterval)
 			continue
@@ -77,6 +79,26 @@
 		i++
 		sleep(ctx, seedInterval)
 	}
+	s.confirmVersion(ctx)
+}
+
+// maxConfirmations is how many other hosts a starting host asks at most for a later
+// configuration.
+const maxConfirmations = 2
+
+// confirmVersion asks other hosts once whether they know a later version of the
+// configuration than this host has found at its start: a store that has just been
+// restored from a copy may hold an older one. Hosts that are fed by others learn it
+// from their feed.
+func (s *syncer) confirmVersion(ctx context.Context) {
+	hosts := s.control.hosts(ctx)
+	if len(follow.Upstreams(hosts, s.host.Name, s.host.Domain)) > 0 {
+		return
+	}
+	others := follow.Fallbacks(hosts, s.host.Name, s.host.Domain)
+	for _, other := range others[:min(len(others), maxConfirmations)] {
+		s.askSeed(ctx, other.Feed)
+	}
 }
 
 // askSeed connects to a seed's feed, receives its first update and disconnects.
@@ -86,6 +108,7 @@
 	seed := follow.Host{Name: address.String(), Feed: address}
 	client := feed.Client{
 		Host:           s.host.Name,
+		Progress:       s.control.progress(ctx),
 		PingInterval:   s.timings.PingInterval,
 		SilenceTimeout: s.timings.SilenceTimeout,
 		MaxAge:         s.timings.MaxAge,
@@ -161,7 +184,7 @@
 		Host:           s.host.Name,
 		Domain:         s.host.Domain,
 		Secret:         s.control.Secret(ctx),
-		Revision:       s.control.revision(ctx),
+		Progress:       s.control.progress(ctx),
 		PingInterval:   s.timings.PingInterval,
 		SilenceTimeout: s.timings.SilenceTimeout,
 		MaxAge:         s.timings.MaxAge,
@@ -171,8 +194,9 @@
 		},
 		OnBatch: func(b follow.Batch) {
 			useful = useful || s.clock.BootTime()-b.AsOf <= s.timings.MaxAge
+			s.store.Observe(b.Position.Incarnation)
 			s.control.apply(ctx, b)
-			s.follower.Resume(b.Revision)
+			s.follower.Resume(b.Position)
 		},
 	}
 	if peer.Domain == s.host.Domain && len(client.Secret) > 0 {
--- a/standin/emu/emu.go
+++ b/standin/emu/emu.go
@@ -219,7 +219,7 @@
 			TargetLatency: class.Target, Priority: class.Priority, Shares: []catalog.Share{{Service: class.Service, Weight: 1}},
 		})
 	}
-	em.directory.SetConfiguration(c, em.revision)
+	em.directory.SetConfiguration(c)
 	em.publish()
 }
 
--- a/standin/emu/host.go
+++ b/standin/emu/host.go
@@ -201,7 +201,7 @@
 // putEntry writes the endpoint's catalog entry, which all hosts receive at once.
 func (em *Emulator) putEntry(e *Endpoint) {
 	em.revision++
-	em.directory.PutEndpoint(em.now, e.entry, em.revision)
+	em.directory.PutEndpoint(em.now, e.entry, catalog.Position{Revision: em.revision})
 	em.publish()
 }
 
@@ -226,7 +226,7 @@
 	em.At(em.now+expiry, func() {
 		if e.Down || e.Refuses {
 			em.revision++
-			em.directory.RemoveEndpoint(em.now, e.entry.ID, em.revision)
+			em.directory.RemoveEndpoint(em.now, e.entry.ID, catalog.Position{Revision: em.revision})
 			em.publish()
 		}
 	})
--- a/standin/kv/serve.go
+++ b/standin/kv/serve.go
@@ -19,6 +19,8 @@
 // lease or call), 410 (the history of a watch has been compacted), 412 (a condition
 // did not hold) or 503 (busy).
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// A response that is delayed across a restore is one of the former incarnation.
+	stateIncarnation(w, s.Incarnation())
 	if !s.applyFaults(w, r) {
 		return
 	}
@@ -26,7 +28,9 @@
 	query := r.URL.Query()
 	switch {
 	case path == "kv-range":
-		reply(w, http.StatusOK, s.list(query.Get("Prefix"), query.Get("after")))
+		page := s.list(query.Get("Prefix"), query.Get("after"))
+		stateIncarnation(w, page.Incarnation)
+		reply(w, http.StatusOK, page)
 	case path == "kv-watch":
 		s.watch(w, r)
 	case path == "kv-key":
@@ -44,6 +48,11 @@
 	}
 }
 
+// stateIncarnation sets the header that states the incarnation of a response.
+func stateIncarnation(w http.ResponseWriter, incarnation uint64) {
+	w.Header().Set("Store-Era", strconv.FormatUint(incarnation, 10))
+}
+
 // applyFaults applies the active faults and reports whether to execute the call.
 func (s *Store) applyFaults(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
@@ -98,6 +107,7 @@
 	defer deadline.Stop()
 	for {
 		changes, next, compacted := s.since(query.Get("Prefix"), since)
+		stateIncarnation(w, changes.Incarnation)
 		if compacted {
 			reply(w, http.StatusGone, struct{}{})
 			return
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -220,6 +220,20 @@
 	}
 }
 
+// operatorDelay is how long after a restore of the store the operator writes its
+// configuration again; endpoints do so with their next heartbeat.
+const operatorDelay = 700 * time.Millisecond
+
+// RestoreStore brings the store back from a copy of the given age.
+func (s *Site) RestoreStore(age time.Duration) {
+	s.Store.Restore(age)
+	time.AfterFunc(operatorDelay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.Store.Put("op/config", []byte(configuration(s.version)), 0)
+	})
+}
+
 // configuration returns the JSON of a version; each has a route of its own.
 func configuration(version uint64) string {
 	text := fmt.Sprintf(`{"Version":%d,"Routes":[`, version)
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -91,6 +91,17 @@
 	{"endpoint-hangs", false, endpointFault(func(e *site.Endpoint, f Fault) { e.FailRequests(0, uint8(f.Level), f.Span) })},
 	{"kill-again", true, killAgain},
 	{"stop-all-in-turn", false, stopInTurn},
+	{"store-restored", true, restoreStore},
+}
+
+// restoreStore makes the store silent for a part of the span and then brings it back
+// from a copy that is up to 5 s old.
+func restoreStore(s *site.Site, f Fault) {
+	s.Store.SetFaults(kv.Faults{Silent: true, Pause: true})
+	time.AfterFunc(f.Span/4, func() {
+		s.RestoreStore(time.Duration(f.Level) * 50 * time.Millisecond)
+		s.Store.SetFaults(kv.Faults{})
+	})
 }
 
 // feedFault impairs the feeds from other hosts to a host.
