feed: Use a source of its own for each server of a test

Cause: TestFeedsAcrossARestore changed the batch of a source that a server was still reading; the race detector reported it once. Change: a second source.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -167,9 +167,10 @@
 	require.Error(t, err)
 	require.Zero(t, batch)
 
+	source = newSource(0)
 	source.batch.Position = catalog.Position{Incarnation: 3, Revision: 2}
 	source.batch.Changes[1].Incarnation = 3
-	batch, _ = firstBatch(t, peer, Client{Secret: source.secret, Progress: ahead, MaxAge: time.Minute, BootTime: clockAt(0)})
+	batch, _ = firstBatch(t, serveOn(t, source, clockAt(0)), Client{Secret: source.secret, Progress: ahead, MaxAge: time.Minute, BootTime: clockAt(0)})
 	require.Equal(t, source.batch.Position, batch.Position)
 	require.EqualValues(t, 3, batch.Changes[1].Incarnation)
 }
