relay: Hold SYNs at the host while endpoints are congested, and choose their order

Cause: after an outage callers retransmit and retry together.

Change: a window per service (package balance) limits the requests that a host lets wait for answers while most answers take twice their uncongested time, and after a start until answers came. It falls to the host's share of the slots and not below, and costs no message between hosts. Further SYNs wait at the host: first what can be answered within its target, the urgent first, then the newest; one release in three goes to what is late. What can't be forwarded before its caller's attempt ends is reset at once. Without congestion nothing is held. A stopping host holds nothing.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -221,6 +221,9 @@
 	return time.Duration(s.answerTime.value)
 }
 
+// Measured reports whether UsualAnswerTime comes from answers.
+func (s *Service) Measured() bool { return s.answerTime.value > 0 }
+
 // Choice is a chosen endpoint with the figures that decided it.
 type Choice struct {
 	Endpoint *Endpoint
--- /dev/null
+++ b/internal/balance/window.go
@@ -0,0 +1,130 @@
+package balance
+
+import "time"
+
+// Parameters of Window.
+const (
+	// congestedRatio is the ratio of an answer time to the uncongested one from which
+	// the answer counts as congested: the request waited as long as it ran.
+	congestedRatio = 2.0
+	// targetSlackShare is the share of the time between an uncongested answer and the
+	// route's target that a wait at the endpoint may take.
+	targetSlackShare = 1.0 / 3
+	// congestionSmoothing is the weight of an answer in the share of congested ones.
+	congestionSmoothing = 1.0 / 8
+	// congestedShare is the share of congested answers that closes the window.
+	congestedShare = 0.5
+	// firstAnswers is the number of answers, after a start, from which the
+	// uncongested time is taken: endpoints were idle until then.
+	firstAnswers = 5
+	// growth and shrinkage change the limit for each answer that is not congested
+	// and for each one that is. Until the first congested one after a start, the limit
+	// grows by startGrowth, so that it doubles within an answer time.
+	growth      = 0.5
+	startGrowth = 1.0
+	shrinkage   = 1.0
+	// minLimit keeps answers coming, from which the window learns.
+	minLimit = 2
+	// baseDrift is the weight of a congested answer in the uncongested time while the
+	// limit is at its lowest: then it is not this host's requests that wait. It takes
+	// longer than a surge.
+	baseDrift = 0.005
+	// openAfter is how long no limit may have been needed until the window opens.
+	openAfter = time.Second
+)
+
+// Window limits the requests of one service that a host lets wait for answers at a
+// time, while the service's endpoints are congested. It answers surges: after an
+// outage callers retransmit and retry together, endpoints queue more than they can
+// answer within the target, and nearly every answer is late, though enough slots for
+// all new requests are there. Requests beyond the limit wait at the host, which can
+// choose their order. Hosts learn of congestion from answer times alone, without
+// messages: the limit falls with congested answers, but not below the host's share
+// of the slots, so that no slot stays unused, and rises with others. Outside
+// congestion there is no limit.
+//
+// It follows concurrency limits by measured delay (Jain 1989; TCP Vegas, Brakmo and
+// Peterson 1995).
+type Window struct {
+	// closed is set while there is a limit.
+	closed bool
+	limit  float64
+	// neededAt is when the limit last held a request back.
+	neededAt time.Duration
+	// base is the answer time without congestion; samples counts answers, up to
+	// firstAnswers.
+	base    float64
+	samples int
+	// congested is the moving share of congested answers, shrunk is set once there
+	// was one.
+	congested float64
+	shrunk    bool
+}
+
+// NewWindow returns a window that is closed: after a start nothing is known of the
+// requests that other hosts let wait.
+func NewWindow(now time.Duration) Window { return Window{closed: true, neededAt: now} }
+
+// Full reports whether one more request has to wait at the host, given the requests
+// that wait for answers and the host's share of the service's slots.
+func (w *Window) Full(now time.Duration, inFlight int, share float64) bool {
+	if !w.closed {
+		return false
+	}
+	if float64(inFlight) < w.Limit(share) {
+		return false
+	}
+	w.neededAt = now
+	return true
+}
+
+// Limit returns how many requests may wait for answers while there is a limit, given
+// the host's share of the slots.
+func (w *Window) Limit(share float64) float64 { return max(w.limit, share, minLimit) }
+
+// RecordAnswer records the time to a request's answer, which was not an error, and
+// the target of its route.
+func (w *Window) RecordAnswer(now, took, target time.Duration, inFlight int, share float64) {
+	if w.samples < firstAnswers {
+		w.samples++
+		w.base += (float64(took) - w.base) / float64(w.samples)
+		return
+	}
+	congested := float64(took) > w.threshold(target)
+	w.congested *= 1 - congestionSmoothing
+	if congested {
+		w.congested += congestionSmoothing
+	}
+	lowest := max(share, minLimit)
+	w.limit = w.Limit(share)
+	switch {
+	case !w.closed && w.congested > congestedShare:
+		w.closed, w.limit, w.neededAt = true, max(lowest, float64(inFlight)), now
+	case w.closed && now-w.neededAt > openAfter && w.congested <= congestedShare:
+		w.closed = false
+	case w.closed && congested:
+		if w.limit <= lowest {
+			w.base += baseDrift * (float64(took) - w.base)
+		}
+		w.limit = max(lowest, w.limit-shrinkage)
+	case w.closed && float64(inFlight) >= w.limit-1:
+		w.limit += w.growth()
+	}
+	w.shrunk = w.shrunk || congested
+	if !congested {
+		w.base += serviceSmoothing * (float64(took) - w.base)
+	}
+}
+
+func (w *Window) growth() float64 {
+	if w.shrunk {
+		return growth
+	}
+	return startGrowth
+}
+
+// threshold returns the answer time from which an answer is congested.
+func (w *Window) threshold(target time.Duration) float64 {
+	slack := max(0, float64(target)-w.base) * targetSlackShare
+	return max(min(congestedRatio*w.base, w.base+slack), (1+congestedRatio)/2*w.base)
+}
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -110,6 +110,9 @@
 	return len(restarting) == 0 || 2*ready >= all+1, restarting
 }
 
+// HostCount returns the number of registered hosts.
+func (r *Replica) HostCount() int { return len(r.hosts) }
+
 // Hosts returns the registered hosts, ordered by name.
 func (r *Replica) Hosts() []Host {
 	hosts := make([]Host, 0, len(r.hosts))
--- a/internal/relay/dump.go
+++ b/internal/relay/dump.go
@@ -9,7 +9,7 @@
 )
 
 // stateNames are the states' names in dumps.
-var stateNames = map[state]string{stateOpening: "opening", stateOpen: "open", stateEnded: "ended"}
+var stateNames = map[state]string{stateOpening: "opening", stateOpen: "open", stateEnded: "ended", stateHeld: "held"}
 
 // FlowState is a flow in a dump.
 type FlowState struct {
@@ -64,12 +64,14 @@
 		State:     stateNames[f.state],
 		Route:     f.route,
 		Service:   f.service.name,
-		Endpoint:  f.endpoint.Entry.ID,
 		Waiting:   f.waiting,
 		TakenOver: f.takenOver,
 		ResetSent: f.resetSent,
 		Idle:      now - f.lastSeen,
 	}
+	if f.endpoint != nil {
+		s.Endpoint = f.endpoint.Entry.ID
+	}
 	for _, e := range f.triedEndpoints() {
 		s.Tried = append(s.Tried, e.Entry.ID)
 	}
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -17,6 +17,8 @@
 	stateOpen
 	// stateEnded: kept for late packets.
 	stateEnded
+	// stateHeld: the SYN waits at this host for room at the endpoints.
+	stateHeld
 )
 
 const (
@@ -36,7 +38,8 @@
 	key     catalog.Flow
 	state   state
 	service *service
-	// endpoint holds the flow or, while it is opening, was tried last.
+	// endpoint holds the flow or, while it is opening, was tried last; nil while the
+	// flow is held.
 	endpoint *balance.Endpoint
 	tried    [maxTries]*balance.Endpoint
 	triedAt  [maxTries]time.Duration
@@ -70,6 +73,9 @@
 	// begins, valid if answerFromKnown is set.
 	answerFrom      uint32
 	answerFromKnown bool
+	// answerTime is the time to the first bytes of the last request's answer, 0 if it
+	// is unknown or has been recorded.
+	answerTime time.Duration
 
 	// The states of a request without an answer are named as follows. It is
 	// waiting from its first packet to the first bytes of the answer. Counted from
@@ -87,9 +93,17 @@
 	// overdue is set once the waiting request is overdue. It counts as failed from
 	// then on, unless this host was lagging.
 	overdue bool
+	// pastTarget is set once the waiting request has taken longer than its target.
+	pastTarget bool
 	// startUnknown is set if the request began before the host saw the flow: its
 	// caller may have given up already, so a missing answer says nothing.
 	startUnknown bool
+	// counted is set while the flow counts in its service's inFlight.
+	counted bool
+	// waiter orders the flow among the held ones; retransmissions is the number of
+	// its SYN's copies before the last one.
+	waiter          balance.Waiter
+	retransmissions uint32
 	// takenOver is set if the flow was added by a packet after its SYN: another host
 	// forwarded the SYN, or this host has removed the flow since.
 	takenOver bool
@@ -105,6 +119,15 @@
 	index int
 }
 
+// valuable returns the time within which an answer has its full value: the target, or
+// the timeout of a route without one.
+func (f *flow) valuable() time.Duration {
+	if f.target > 0 {
+		return f.target
+	}
+	return f.timeout
+}
+
 // triedEndpoints returns the endpoints that the SYN was sent to.
 func (f *flow) triedEndpoints() []*balance.Endpoint { return f.tried[:f.tries] }
 
@@ -119,6 +142,26 @@
 	if f.waiting {
 		e.Busy++
 	}
+	f.count()
+}
+
+// count updates whether the flow counts in its service's inFlight: while its request
+// waits for an answer that this host is going to see. It is not if a SYN has no
+// handshake ACK, if the request is overdue, or if its target has passed: routers may
+// have moved the flow to another host.
+func (f *flow) count() {
+	opening := f.state == stateOpening && f.timedOutTries == 0
+	open := f.state == stateOpen && !f.overdue && !f.pastTarget
+	counts := f.waiting && (opening || open)
+	if counts == f.counted {
+		return
+	}
+	f.counted = counts
+	if counts {
+		f.service.inFlight++
+		return
+	}
+	f.service.inFlight--
 }
 
 // detach removes the flow from its endpoint's Open and Busy.
@@ -143,6 +186,7 @@
 	} else {
 		f.endpoint.Busy--
 	}
+	f.count()
 }
 
 // markEnded detaches the flow and sets its state to ended; it stays in the table
@@ -155,6 +199,7 @@
 	f.waiting = false
 	f.state = stateEnded
 	f.endedAt = now
+	f.count()
 }
 
 // newFlow adds a flow, evicting the one that is due first if the table is full.
@@ -190,6 +235,11 @@
 // removeFlow removes a flow from the table.
 func (r *Relay) removeFlow(f *flow) {
 	f.detach()
+	if f.state == stateHeld {
+		r.removeHeld(f)
+	}
+	f.waiting = false
+	f.count()
 	delete(r.flows, f.key)
 	if f.index > 0 {
 		heap.Remove(&r.timers, f.index-1)
--- a/internal/relay/handshake_timeout.go
+++ b/internal/relay/handshake_timeout.go
@@ -46,3 +46,7 @@
 	}
 	return min(max(h.mean+4*h.deviation+timerMargin, minHandshakeTimeout), maxHandshakeTimeout)
 }
+
+// roundTrip returns the mean time from a SYN to its handshake ACK, 0 if it is not
+// known.
+func (h *handshakeTimeout) roundTrip() time.Duration { return h.mean }
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -67,6 +67,13 @@
 	r.publish()
 }
 
+// configureTarget publishes a configuration whose route has the target latency.
+func (r *harness) configureTarget(target time.Duration) {
+	r.configure("s")
+	r.directory.Configuration().Routes[0].TargetLatency = target
+	r.publish()
+}
+
 func (r *harness) publish() { r.relay.SetView(r.now, r.directory.View(r.now)) }
 
 func (r *harness) Forward(e *catalog.Entry, _ []byte) { r.sent = append(r.sent, e.ID) }
--- /dev/null
+++ b/internal/relay/hold.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"toucangap/internal/balance"
+	"toucangap/internal/catalog"
+)
+
+const (
+	// openTimeout is how long a caller waits for the acceptance of its first SYN.
+	openTimeout = 1400 * time.Millisecond
+	// openMargin is the part of it that is left for opening the flow.
+	openMargin = 150 * time.Millisecond
+	// slotAllowance is the number of requests for each slot: hosts do not know of
+	// each other's requests, so that some endpoints have more of them than others.
+	slotAllowance = 1.4
+	// unknownRoundTrip is the ratio of the answer time to a round trip that is assumed
+	// until both were measured.
+	unknownRoundTrip = 3.0
+	// lateShare is the number of releases of which one goes to a request that is late
+	// already, while others can still be answered within their targets.
+	lateShare = 3
+	// maxHeld limits the flows that a service's queue holds.
+	maxHeld = 512
+)
+
+// synTimes are when callers send the copies of a SYN, counted from the first.
+var synTimes = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// sinceFirstSYN returns how long before the n-th retransmission, counted from 0 for
+// the first SYN, a caller sent its first SYN.
+func sinceFirstSYN(n uint32) time.Duration { return synTimes[min(int(n), len(synTimes)-1)] }
+
+// slotShare returns the host's share of a service's slots.
+func (r *Relay) slotShare(sv *service) float64 {
+	hosts := 1
+	if r.options.Hosts != nil {
+		hosts = max(1, r.options.Hosts())
+	}
+	return float64(sv.slots) / float64(hosts)
+}
+
+// fairLimit returns how many requests of a service the host may always let wait for
+// answers: its share of the slots, with as many waiting requests as keep them in use.
+// A request takes no slot during the round trips of its handshake and its answer.
+func (r *Relay) fairLimit(sv *service) float64 {
+	answer := float64(sv.observed.UsualAnswerTime())
+	roundTrip := answer / unknownRoundTrip
+	if r.handshakeTimeout.roundTrip() > 0 && sv.observed.Measured() {
+		roundTrip = min(float64(r.handshakeTimeout.roundTrip()), answer/2)
+	}
+	return r.slotShare(sv) * slotAllowance * (answer + roundTrip) / (answer - roundTrip)
+}
+
+// mustWait reports whether a new flow of the service has to wait at this host.
+func (r *Relay) mustWait(now time.Duration, sv *service) bool {
+	if r.options.Disabled.Holding || r.draining || r.lagging {
+		return false
+	}
+	return len(sv.held) > 0 || sv.window.Full(now, sv.inFlight, r.fairLimit(sv))
+}
+
+// hold lets a flow wait until there is room at the endpoints. If the flow that is last
+// in the order can't be forwarded before its caller's attempt ends, that one is
+// rejected at once.
+func (r *Relay) hold(now time.Duration, f *flow, route *catalog.Route) {
+	since := now - sinceFirstSYN(f.retransmissions)
+	f.state = stateHeld
+	f.waiter = balance.Waiter{
+		Since: since, Target: f.valuable(), Priority: route.Priority,
+		Until: min(since+openTimeout-openMargin, since+f.timeout-f.service.observed.UsualAnswerTime()),
+	}
+	sv := f.service
+	sv.held = append(sv.held, f)
+	r.heldFlows++
+	r.stats.Held++
+	r.schedule(f, f.waiter.Until)
+	if last := sv.held[sv.last(now)]; len(sv.held) > maxHeld || now+r.queueTime(sv) > last.waiter.Until {
+		r.rejectHeld(now, last)
+	}
+	r.releaseHeld(now)
+}
+
+// queueTime returns the expected time until all held flows of a service have been
+// forwarded: by Little's law, as many as may wait for answers in each answer time.
+// Until answers have been seen, it counts the slots and what waits for them.
+func (r *Relay) queueTime(sv *service) time.Duration {
+	ahead, atOnce := float64(len(sv.held)), sv.window.Limit(r.fairLimit(sv))
+	if !sv.observed.Measured() {
+		atOnce = r.slotShare(sv)
+		ahead += max(0, float64(sv.inFlight)-atOnce)
+	}
+	return time.Duration(ahead * float64(sv.observed.UsualAnswerTime()) / atOnce)
+}
+
+// first and last return the positions of the flow to forward next and of the last
+// one in the order.
+func (sv *service) first(now time.Duration) int {
+	takes := sv.observed.UsualAnswerTime()
+	sv.releases++
+	lateFirst := sv.releases%lateShare == 0
+	return sv.extreme(func(a, b *flow) bool {
+		if in := a.waiter.InTarget(now, takes); lateFirst && in != b.waiter.InTarget(now, takes) {
+			return !in
+		}
+		return a.waiter.Before(&b.waiter, now, takes)
+	})
+}
+
+func (sv *service) last(now time.Duration) int {
+	return sv.extreme(func(a, b *flow) bool { return b.waiter.Before(&a.waiter, now, sv.observed.UsualAnswerTime()) })
+}
+
+// extreme returns the position of the held flow that precedes all others.
+func (sv *service) extreme(precedes func(a, b *flow) bool) int {
+	best := 0
+	for i := range sv.held {
+		if precedes(sv.held[i], sv.held[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (r *Relay) removeHeld(f *flow) {
+	sv := f.service
+	if i := slices.Index(sv.held, f); i >= 0 {
+		sv.held = slices.Delete(sv.held, i, i+1)
+		r.heldFlows--
+	}
+}
+
+// releaseHeld forwards held flows while there is room at the endpoints.
+func (r *Relay) releaseHeld(now time.Duration) {
+	if r.heldFlows == 0 {
+		return
+	}
+	for _, sv := range r.services {
+		for len(sv.held) > 0 && (r.draining || r.lagging || !sv.window.Full(now, sv.inFlight, r.fairLimit(sv))) {
+			r.release(now, sv.held[sv.first(now)])
+		}
+	}
+}
+
+// release forwards a held flow under the present configuration.
+func (r *Relay) release(now time.Duration, f *flow) {
+	r.removeHeld(f)
+	route := r.view.Route(f.key.Destination)
+	if route != nil {
+		f.service = r.serviceFor(route, f.key.Hash())
+	}
+	if route == nil || len(f.service.candidates) == 0 {
+		reason := RejectNoEndpoint
+		if route == nil {
+			reason = RejectNoRoute
+		}
+		r.rejectFlow(now, f, reason)
+		return
+	}
+	r.open(now, f, route, f.synFrame[:f.synLength])
+}
+
+// handleHoldTimeout rejects a held flow whose caller's attempt is about to end: the
+// caller learns at once that its request has not run.
+func (r *Relay) handleHoldTimeout(now time.Duration, f *flow) { r.rejectHeld(now, f) }
+
+func (r *Relay) rejectHeld(now time.Duration, f *flow) {
+	r.removeHeld(f)
+	r.rejectFlow(now, f, RejectOverload)
+}
+
+// rejectFlow removes a flow that was never forwarded and resets it.
+func (r *Relay) rejectFlow(now time.Duration, f *flow, reason Rejection) {
+	p := r.placement(f.key, f.route, f.service.name)
+	p.Retransmissions, p.Waited = f.retransmissions, now-f.startedAt
+	f.state = stateOpening
+	r.removeFlow(f)
+	r.reject(now, p, 0, reason)
+}
+
+// StopHolding forwards all held flows; later ones are not held. It is called before
+// the host exits.
+func (r *Relay) StopHolding(now time.Duration) {
+	r.draining = true
+	r.releaseHeld(now)
+}
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -140,6 +140,8 @@
 	// Placed counts new flows, FailedOver the SYNs sent to another endpoint.
 	Placed     int64
 	FailedOver int64
+	// Held counts the new flows that had to wait for room at the endpoints.
+	Held int64
 	// TakenOver counts flows added by a packet after their SYN.
 	TakenOver int64
 	// Contested counts packets that name another endpoint than their flow's.
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -11,6 +11,11 @@
 // handlePacket handles a packet other than a SYN.
 func (r *Relay) handlePacket(now time.Duration, s segment.Segment, frame []byte) {
 	f := r.flows[s.Flow]
+	if f != nil && f.state == stateHeld {
+		// Another host forwarded a copy of the SYN, or the caller has given up.
+		r.removeFlow(f)
+		f = nil
+	}
 	if f == nil {
 		f = r.takeOver(now, s)
 		if f == nil {
@@ -114,6 +119,7 @@
 		f.attach(winner)
 	}
 	f.state = stateOpen
+	f.count()
 	f.acknowledged = s.Acknowledgement
 	f.answerFrom, f.answerFromKnown = s.Acknowledgement, true
 	took := now - f.sentAt
@@ -167,9 +173,9 @@
 		f.dataEnd = s.End()
 		f.requestAt = now
 		if !f.waiting {
-			f.overdue = false
+			f.overdue, f.pastTarget = false, false
 			f.setWaiting(true)
-			r.schedule(f, min(f.due, now+f.service.observed.OverdueAfter()))
+			r.schedule(f, min(f.due, now+f.service.observed.OverdueAfter(), now+f.valuable()))
 		}
 	}
 	return advanced
@@ -185,6 +191,7 @@
 	}
 	if !r.lagging {
 		f.endpoint.RecordAnswer(now, took, &f.service.observed)
+		f.answerTime = took
 	}
 	r.options.Observer.Answered(took)
 }
@@ -198,6 +205,11 @@
 	small := r.sizesOf(f.key.Destination).RecordSize(f.acknowledged - f.answerFrom)
 	r.recordOutcome(now, f, small)
 	f.answerFromKnown = false
+	if f.answerTime > 0 && !small {
+		sv := f.service
+		sv.window.RecordAnswer(now, f.answerTime, f.valuable(), sv.inFlight, r.fairLimit(sv))
+	}
+	f.answerTime = 0
 }
 
 // recordOutcome records whether a request of the flow failed.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,8 @@
 	FlowLifetime time.Duration
 	Output       Output
 	Observer     Observer
+	// Hosts returns the number of hosts that share the endpoints; nil means one.
+	Hosts func() int
 	// Choose picks endpoints for new flows; nil means balance.Choose.
 	// Experiments set others as baselines.
 	Choose func(balance.Request, *balance.Service, []*balance.Endpoint) balance.Choice
@@ -59,6 +61,8 @@
 	ServiceCheck bool
 	// Admission rejects requests that would be answered too late.
 	Admission bool
+	// Holding lets SYNs wait at the host while the endpoints are congested.
+	Holding bool
 }
 
 // Relay is the state of one traffic goroutine.
@@ -79,7 +83,11 @@
 
 	// lagging is set while packets wait too long in this host's socket, so that
 	// times and missing handshake ACKs say nothing about endpoints.
-	lagging          bool
+	lagging bool
+	// draining is set once the host is about to exit, so that it holds nothing.
+	draining bool
+	// heldFlows is the number of held flows of all services.
+	heldFlows        int
 	flows            map[catalog.Flow]*flow
 	timers           timerHeap
 	freeFlows        []*flow
@@ -92,6 +100,15 @@
 	name       string
 	observed   balance.Service
 	candidates []*balance.Endpoint
+	// slots is the number of the candidates' slots.
+	slots int
+	// inFlight counts the flows whose request waits at an endpoint; overdue ones do
+	// not count. window limits it, and held are the flows that wait for room.
+	inFlight int
+	window   balance.Window
+	held     []*flow
+	// releases counts the held flows that were forwarded.
+	releases int
 }
 
 // New returns a Relay without a view, started at the given time.
@@ -149,7 +166,7 @@
 
 func (r *Relay) updateServices(v *catalog.View) {
 	for _, s := range r.services {
-		s.candidates = s.candidates[:0]
+		s.candidates, s.slots = s.candidates[:0], 0
 	}
 	if v.Configuration == nil {
 		return
@@ -158,6 +175,7 @@
 		s := r.service(name)
 		for _, entry := range v.Available(name) {
 			s.candidates = append(s.candidates, r.endpoints[entry.Token()])
+			s.slots += max(entry.Slots, 1)
 		}
 	}
 }
@@ -166,7 +184,7 @@
 func (r *Relay) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, window: balance.NewWindow(r.started)}
 		r.services[name] = s
 	}
 	return s
@@ -185,6 +203,7 @@
 		r.handleSYN(now, s, frame)
 	default:
 		r.handlePacket(now, s, frame)
+		r.releaseHeld(now)
 	}
 }
 
@@ -203,6 +222,7 @@
 	}
 	for _, s := range r.services {
 		s.observed = balance.Service{}
+		s.window = balance.NewWindow(now)
 	}
 	r.handshakeTimeout = newHandshakeTimeout()
 	for _, f := range r.flows {
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -28,6 +28,11 @@
 		r.reject(now, Placement{Flow: s.Flow, Retransmissions: s.Retransmissions()}, s.Acknowledgement, RejectNoRoute)
 		return
 	}
+	if f != nil && f.state == stateHeld {
+		f.retransmissions = s.Retransmissions()
+		f.lastSeen = now
+		return
+	}
 	if f != nil {
 		r.handleRetransmittedSYN(now, f, route, s, frame)
 		return
@@ -54,32 +59,49 @@
 	r.failOver(now, f, s.Retransmissions(), frame)
 }
 
-// place chooses the endpoint of a new flow and forwards its SYN, or rejects it.
+// place forwards the SYN of a new flow, holds it, or rejects it.
 func (r *Relay) place(now time.Duration, route *catalog.Route, s segment.Segment, frame []byte) {
-	hash := s.Flow.Hash()
-	sv := r.serviceFor(route, hash)
-	p := r.placement(s.Flow, route.Name, sv.name)
-	p.Retransmissions = s.Retransmissions()
+	sv := r.serviceFor(route, s.Flow.Hash())
 	if len(sv.candidates) == 0 {
+		p := r.placement(s.Flow, route.Name, sv.name)
+		p.Retransmissions = s.Retransmissions()
 		r.reject(now, p, s.Acknowledgement, RejectNoEndpoint)
 		return
 	}
-	p.Choice = r.options.Choose(balance.Request{Now: now, Hash: hash, Domain: r.options.Domain, FailureCost: route.Timeout}, &sv.observed, sv.candidates)
-	p.Endpoint = p.Choice.Endpoint.Entry
-	if !r.options.Disabled.Admission && !r.lagging && !balance.Admit(route, p.Choice) {
-		r.reject(now, p, s.Acknowledgement, RejectOverload)
-		return
-	}
 	f := r.newFlow(now, s.Flow)
 	f.service, f.route, f.timeout, f.target = sv, route.Name, route.Timeout, route.TargetLatency
 	f.sequence = s.Sequence
 	f.dataEnd = s.Sequence
+	f.retransmissions = s.Retransmissions()
 	f.synLength = copy(f.synFrame[:], frame)
 	if f.synLength < len(frame) {
 		f.synLength = 0
 	}
+	if r.mustWait(now, sv) && f.synLength > 0 {
+		r.hold(now, f, route)
+		return
+	}
+	r.open(now, f, route, frame)
+}
+
+// open chooses the endpoint of a new or held flow and forwards its SYN, or rejects
+// it.
+func (r *Relay) open(now time.Duration, f *flow, route *catalog.Route, frame []byte) {
+	p := r.placement(f.key, f.route, f.service.name)
+	p.Retransmissions = f.retransmissions
+	p.Waited = now - f.startedAt
+	p.Choice = r.options.Choose(balance.Request{
+		Now: now, Hash: f.key.Hash(), Domain: r.options.Domain, FailureCost: f.timeout,
+	}, &f.service.observed, f.service.candidates)
+	p.Endpoint = p.Choice.Endpoint.Entry
+	if !r.options.Disabled.Admission && !r.lagging && !balance.Admit(route, p.Choice) {
+		r.removeFlow(f)
+		r.reject(now, p, 0, RejectOverload)
+		return
+	}
+	f.state = stateOpening
 	f.waiting = true
-	f.requestAt = now
+	f.requestAt, f.progressAt = now, now
 	r.tryEndpoint(now, f, p.Choice.Endpoint, frame)
 	r.stats.Placed++
 	p.Try = f.tries
--- a/internal/relay/syn_test.go
+++ b/internal/relay/syn_test.go
@@ -165,6 +165,7 @@
 // arrived do not make endpoints look busy for long.
 func TestDepartedCallersAreNotLoad(t *testing.T) {
 	r := newHarness(t, 3)
+	r.relay.options.Disabled.Holding = true
 	for port := uint16(1); port < 60; port++ {
 		r.syn(port, 0)
 	}
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -37,8 +37,11 @@
 			r.reviewOpenFlow(now, f)
 		case stateEnded:
 			r.removeFlow(f)
+		case stateHeld:
+			r.handleHoldTimeout(now, f)
 		}
 	}
+	r.releaseHeld(now)
 }
 
 // handleHandshakeTimeout records that a SYN is unanswered and fails over to
@@ -55,6 +58,7 @@
 	}
 	r.recordUnansweredSYN(now, f)
 	f.timedOutTries = f.tries
+	f.count()
 	r.schedule(f, now+r.handshakeTimeout.current())
 	if f.synLength > 0 && f.tries < maxTries {
 		r.failOver(now, f, 0, f.synFrame[:f.synLength])
@@ -119,8 +123,13 @@
 	overdueAt := f.requestAt + f.service.observed.OverdueAfter()
 	if f.waiting && !f.startUnknown && !f.overdue && now >= overdueAt {
 		f.overdue = true
+		f.count()
 		r.recordOutcome(now, f, true)
 	}
+	if f.waiting && !f.pastTarget && now >= f.requestAt+f.valuable() {
+		f.pastTarget = true
+		f.count()
+	}
 	idleAt := f.lastSeen + r.idleTimeout()
 	if now >= idleAt || now >= f.startedAt+r.options.FlowLifetime {
 		r.options.Observer.Ended(now, r.ending(now, f, "idle"))
@@ -134,5 +143,8 @@
 	case f.waiting:
 		next = min(next, f.requestAt+f.timeout, overdueAt)
 	}
+	if f.waiting && !f.pastTarget {
+		next = min(next, f.requestAt+f.valuable())
+	}
 	r.schedule(f, max(next, now+time.Millisecond))
 }
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -24,6 +24,8 @@
 	asOf atomic.Int64
 	// restores is how often the store was restored from a copy since the start.
 	restores atomic.Int64
+	// hostCount is the number of registered hosts.
+	hostCount atomic.Int64
 	// onPublish is called after each new view.
 	onPublish func()
 
@@ -88,6 +90,7 @@
 		previous := c.replica.AsOf()
 		changed := c.replica.Apply(c.clock.Monotonic(), b)
 		c.restores.Store(c.replica.Restores())
+		c.hostCount.Store(int64(c.replica.HostCount()))
 		asOf := c.replica.AsOf()
 		c.asOf.Store(int64(asOf))
 		if changed {
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -47,6 +47,7 @@
 	set("packets_contested", s.Contested)
 	set("flows", s.Flows)
 	set("flows_placed", s.Placed)
+	set("flows_held", s.Held)
 	set("flows_sent_on", s.FailedOver)
 	set("flows_adopted", s.TakenOver)
 	set("flows_evicted", s.Evicted)
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -107,7 +107,7 @@
 func (o *observer) Placed(now time.Duration, p relay.Placement) {
 	if p.Try == 1 && p.Retransmissions == 0 {
 		if o.allows(now, o.routine) {
-			event.Log(o.logger, event.FlowPlaced, placementAttrs(&p, slog.Bool("trial", p.Choice.Trial))...)
+			event.Log(o.logger, event.FlowPlaced, placementAttrs(&p, slog.Bool("trial", p.Choice.Trial), slog.Duration("waited", p.Waited))...)
 		}
 		return
 	}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -110,6 +110,7 @@
 		FlowLifetime: d.settings.Bounds.FlowLifetime,
 		Output:       d.traffic,
 		Observer:     d.traffic.observer,
+		Hosts:        func() int { return int(d.control.hostCount.Load()) },
 	}, d.clock.Monotonic())
 	d.control.onPublish = d.traffic.wake
 	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, aggregator: outlier.NewAggregator()}
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -43,6 +43,7 @@
 	d.ready.stopping.Store(true)
 	go d.registrar.deregister(context.WithoutCancel(ctx))
 	sleep(ctx, min(rotationExitTime, d.settings.Bounds.Stop/2))
+	d.traffic.do(func() { d.traffic.relay.StopHolding(d.clock.Monotonic()) })
 	for ctx.Err() == nil {
 		now := d.clock.Monotonic()
 		idle := now - time.Duration(d.traffic.lastPacket.Load())
--- a/standin/emu/host.go
+++ b/standin/emu/host.go
@@ -43,6 +43,7 @@
 	if o.Observer == nil {
 		o.Observer = NopObserver{}
 	}
+	o.Hosts = func() int { return len(h.emulator.hosts) }
 	if o.MaxFlows == 0 {
 		o.MaxFlows = 100_000
 	}
@@ -93,13 +94,20 @@
 }
 
 // route returns the host that routers select for a flow of a domain: by rendezvous
-// hashing over the domain's hosts in rotation, or over all hosts in rotation if the
-// domain has none. It returns nil if no host is in rotation.
+// hashing over the domain's hosts in rotation, or over all hosts of the domain if
+// fewer than half of them are.
 func (em *Emulator) route(f catalog.Flow, domain string) *Host {
-	if h := em.rendezvousHost(f, func(h *Host) bool { return h.Domain == domain && h.inRotation }); h != nil {
-		return h
+	all, ready := 0, 0
+	for _, h := range em.hosts {
+		if h.Domain == domain {
+			all++
+			if h.inRotation {
+				ready++
+			}
+		}
 	}
-	return em.rendezvousHost(f, func(h *Host) bool { return h.inRotation })
+	useAll := 2*ready < all
+	return em.rendezvousHost(f, func(h *Host) bool { return h.Domain == domain && (useAll || h.inRotation) })
 }
 
 // rendezvousHost returns the usable host with the highest score for the flow.
