follow: Tell peers of removals from before a listing

Cause: a host that has just started knows the store from a listing and holds no removals from before it. It fed a host that had been cut off since before one of them only what was newer, so that one kept an endpoint that was gone, until the store or another feed told it. Ruled out: the restore itself, there is none in the reduced sequence.

Change: a complete batch counts as the point up to which removals may be missing, so that a peer from before it gets the whole state. The model's check of old reports took an older copy of an endpoint that had come back meanwhile for a violation (trace: draining at report 2, ready at 3, copy of 1); it now forgets a leaving once a later report was seen.

--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -74,7 +74,8 @@
 	// inForce is the write of the configuration in force. A restored store may hold
 	// an older one.
 	inForce platform.Change
-	// compacted is the latest position of a removal that has been discarded.
+	// compacted is the position up to which removals may be missing from items: they
+	// were discarded, or made before a listing.
 	compacted catalog.Position
 	// history is how long removals are kept.
 	history time.Duration
@@ -121,6 +122,10 @@
 	if b.Complete && r.removeUnlisted(now, b) {
 		changed = true
 	}
+	if b.Complete {
+		// Removals of keys that this host never knew are not among its items.
+		r.compacted = r.compacted.Max(b.Position)
+	}
 	for i := range b.Later {
 		if r.applyChange(now, &b.Later[i]) {
 			changed = true
--- a/internal/follow/replica_test.go
+++ b/internal/follow/replica_test.go
@@ -212,6 +212,19 @@
 	require.Equal(t, []string{"h1", "h2", "h3"}, restarting)
 }
 
+// TestListingHostTellsOfEarlierRemovals: a host that has just started knows the store
+// from a listing, and so nothing of removals before it. A host that was cut off since
+// before one of them must not keep the endpoint when that host feeds it.
+func TestListingHostTellsOfEarlierRemovals(t *testing.T) {
+	cutOff := newTestReplica()
+	cutOff.Apply(0, Batch{Complete: true, Position: at(5), Changes: []platform.Change{configurationAt(2, 1), entryAt("i-1", 3, "ready"), entryAt("i-2", 4, "ready")}})
+	started := newTestReplica()
+	started.Apply(0, Batch{Complete: true, Position: at(9), Changes: []platform.Change{configurationAt(2, 1), entryAt("i-2", 4, "ready")}})
+	cutOff.Apply(0, started.Since(0, cutOff.Progress()))
+	require.Equal(t, []string{"i-2"}, availableIDs(cutOff.View(0)))
+	require.False(t, started.Since(0, cutOff.Progress()).Complete, "later updates are small")
+}
+
 // TestFeedsFormNoCycle checks that with any set of hosts, following the first
 // upstreams ends at a host that follows the store, and that each failure domain
 // has one host with an upstream outside of it.
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -284,6 +284,10 @@
 				}
 			}
 			for _, e := range view.Available("s") {
+				if e.Report > left[i][e.ID] {
+					// It has come back; an older copy of the same state is no harm.
+					delete(left[i], e.ID)
+				}
 				if e.Report < left[i][e.ID] {
 					require.GreaterOrEqual(t, now, restoredAt[i]+restoredHold, "%s takes flows by an old report", e.ID)
 				}
