follow, platform: Bounded tree of feeds, and an earlier start with many endpoints

Change: hosts of a domain form a tree by rank with eight children a host; hosts with a faster link and processor rank higher (settings limits.cpu_share, limits.link_mbps). A host whose parent is lost follows the parent's ancestors, then others above it. A starting host serves by the first page of a listing, which holds the configuration, and reads changes between pages while that takes long.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -207,6 +207,20 @@
 // Position returns the position up to which the directory is complete.
 func (d *Directory) Position() Position { return d.position }
 
+// Count returns the number of listed endpoints and of the draining ones among them.
+func (d *Directory) Count() (endpoints, draining int) {
+	for _, e := range d.entries {
+		if e.removed {
+			continue
+		}
+		endpoints++
+		if e.Draining {
+			draining++
+		}
+	}
+	return endpoints, draining
+}
+
 // Expire deletes removed endpoints after their retention, and installs entries of a
 // restored store that are no longer held back. It returns the time at which to call
 // it again, or 0 if nothing is due, and whether a new view would differ from the
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -78,6 +78,7 @@
 	ListingStale
 	StoreRestored
 	UpdateIgnored
+	StateReceived
 )
 
 var followerArea = Area{
@@ -106,5 +107,6 @@
 		{ListingStale, slog.LevelWarn, "reading the store took too long and the result could not be brought up to date", "None if the store is slow; the host continues with a watch."},
 		{StoreRestored, slog.LevelWarn, "store was restored from an older copy", "Check that operators' changes since the copy are written again; hosts and endpoints do so by themselves. See docs/OPERATIONS.md."},
 		{UpdateIgnored, slog.LevelInfo, "update of another incarnation of the store ignored", "None; the source was behind a restore of the store, or ahead of this host."},
+		{StateReceived, slog.LevelInfo, "state received from a listing or a peer", "None; the dump has the single endpoints."},
 	},
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -126,6 +127,8 @@
 // listing is a partially read listing.
 type listing struct {
 	batch Batch
+	// startedAt is when its first page was asked for.
+	startedAt time.Duration
 	// after is the last key that was read.
 	after string
 }
@@ -139,8 +142,9 @@
 // many hosts start at once the store rejects some of their calls; a listing
 // with a failed page resumes at that page in the next step.
 func (f *Follower) list(ctx context.Context) error {
-	if f.partial == nil || f.BootTime()-f.partial.batch.AsOf > listingLifetime {
-		f.partial = &listing{batch: Batch{Complete: true, AsOf: f.BootTime()}}
+	if f.partial == nil || f.BootTime()-f.partial.startedAt > listingLifetime {
+		now := f.BootTime()
+		f.partial = &listing{batch: Batch{Complete: true, AsOf: now}, startedAt: now}
 	}
 	l := f.partial
 	for range maxPages {
@@ -159,6 +163,9 @@
 			l.batch.Changes = append(l.batch.Changes, platform.Change{Item: item})
 			l.after = item.Key
 		}
+		if err := f.deliverPart(ctx, l, page); err != nil {
+			return err
+		}
 		if !page.More || len(page.Items) == 0 {
 			f.partial, f.listedOnce = nil, true
 			f.cursor = l.batch.Position
@@ -175,6 +182,28 @@
 	return merry.New("listing exceeds the maximum number of pages")
 }
 
+// deliverPart passes on the first of several pages at a start: it holds the
+// configuration and some endpoints, by which the host can serve while it reads the
+// rest. While that takes long, it passes on what has changed since. These batches say
+// nothing of how far they are complete.
+func (f *Follower) deliverPart(ctx context.Context, l *listing, page platform.Page) error {
+	if f.listedOnce || !page.More {
+		return nil
+	}
+	part := Batch{Position: catalog.Position{Incarnation: page.Incarnation}}
+	if len(l.batch.Changes) == len(page.Items) {
+		part.Changes = slices.Clone(l.batch.Changes)
+	} else {
+		asOf := l.batch.AsOf
+		if err := f.catchUp(ctx, &l.batch); err != nil || l.batch.AsOf == asOf {
+			return err
+		}
+		part.Changes = slices.Clone(l.batch.Later)
+	}
+	f.OnBatch(part)
+	return nil
+}
+
 // LastResponse returns when the store last responded, on the boot-time clock; 0 if
 // it never did. Unlike the other methods it may be called from any goroutine.
 func (f *Follower) LastResponse() time.Duration { return time.Duration(f.lastResponse.Load()) }
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"log/slog"
+	"math/bits"
 	"net/netip"
 	"slices"
 	"time"
@@ -20,6 +21,14 @@
 	Domain string `json:"domain"`
 	// Feed is the address at which other hosts connect to follow this one.
 	Feed netip.AddrPort `json:"feed"`
+	// Capacity is what the host can feed, by its link and processor; see CapacityOf.
+	Capacity int `json:"capacity,omitempty"`
+}
+
+// CapacityOf returns the capacity of a host with the share of a core and the link in
+// Mbit/s. Only powers of two are told apart, so that hosts of one kind are equal.
+func CapacityOf(cpuShare, linkMbps float64) int {
+	return bits.Len(uint(max(0, cpuShare*linkMbps)))
 }
 
 // Encode returns the registration's value in the store.
@@ -40,7 +49,7 @@
 		delete(r.hosts, name)
 		return
 	}
-	if r.hosts[name] != h {
+	if r.hosts[name] != h && !r.listing {
 		event.Log(r.logger, event.HostListed, slog.String("host", name), slog.String("domain", h.Domain),
 			slog.String("feed", h.Feed.String()), logPosition(c.Position()))
 	}
@@ -134,35 +143,63 @@
 // before a host follows the store itself.
 const maxOuterUpstreams = 2
 
-// Upstreams returns the hosts that may feed the named one, best first: those of
-// its domain that rank higher, or, for the highest-ranked host of a domain,
-// some higher-ranked hosts of other domains. Ranks only rise along a chain of
-// feeds, so there are no cycles, and all hosts with the same registrations
-// agree on the one that has no upstream and follows the store.
-func Upstreams(hosts []Host, name, domain string) []Host {
-	inner := higherRanked(hosts, name, func(h Host) bool { return h.Domain == domain })
+// feedFanOut is how many hosts of its domain a host feeds at most while all hosts are
+// up. With it, 1,000 hosts of a domain are three feeds away from its first host.
+const feedFanOut = 8
+
+// Upstreams returns the hosts that may feed the given one, best first. The hosts of a
+// domain form a tree by their rank, in which each one feeds up to feedFanOut others: a
+// host follows its parent or, if that fails, its parent's ancestors and then other
+// hosts that rank above it. The first host of a domain follows some higher-ranked
+// hosts of other domains. Ranks only rise along a chain of feeds, so there are no
+// cycles, and all hosts with the same registrations agree on the one that has no
+// upstream and follows the store.
+func Upstreams(hosts []Host, own Host) []Host {
+	inner := higherRanked(hosts, own, func(h Host) bool { return h.Domain == own.Domain })
 	if len(inner) > 0 {
-		return inner
+		return byAncestry(inner)
 	}
-	outer := higherRanked(hosts, name, func(h Host) bool { return h.Domain != domain })
+	outer := higherRanked(hosts, own, func(h Host) bool { return h.Domain != own.Domain })
 	return outer[:min(len(outer), maxOuterUpstreams)]
 }
 
+// byAncestry orders the hosts of a domain that rank above one, given best first: its
+// ancestors in the tree, nearest first, then the others.
+func byAncestry(inner []Host) []Host {
+	ordered := make([]Host, 0, len(inner))
+	ancestor := make([]bool, len(inner))
+	for position := len(inner); position > 0; {
+		position = (position - 1) / feedFanOut
+		ordered = append(ordered, inner[position])
+		ancestor[position] = true
+	}
+	for i, h := range inner {
+		if !ancestor[i] {
+			ordered = append(ordered, h)
+		}
+	}
+	return ordered
+}
+
 // feedSalt gives all feeds one common ranking. With a second ranking within
 // domains, chains of feeds could form a cycle.
 const feedSalt = "feed"
 
-// higherRanked returns the matching hosts that rank above the named one, best
-// first.
-func higherRanked(hosts []Host, name string, matches func(Host) bool) []Host {
-	own := rank(feedSalt, name)
+// compareRank orders hosts for feeds, the higher-ranked first: by capacity, since inner
+// hosts of the tree send most, then by hash.
+func compareRank(a, b Host) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(rank(feedSalt, b.Name), rank(feedSalt, a.Name)))
+}
+
+// higherRanked returns the matching hosts that rank above the given one, best first.
+func higherRanked(hosts []Host, own Host, matches func(Host) bool) []Host {
 	var found []Host
 	for _, h := range hosts {
-		if h.Name != name && matches(h) && rank(feedSalt, h.Name) > own {
+		if h.Name != own.Name && matches(h) && compareRank(h, own) < 0 {
 			found = append(found, h)
 		}
 	}
-	sortByRank(found, feedSalt)
+	slices.SortFunc(found, compareRank)
 	return found
 }
 
@@ -176,17 +213,13 @@
 			fallbacks = append(fallbacks, h)
 		}
 	}
-	sortByRank(fallbacks, name)
+	slices.SortFunc(fallbacks, func(a, b Host) int { return cmp.Compare(rank(name, b.Name), rank(name, a.Name)) })
 	slices.SortStableFunc(fallbacks, func(a, b Host) int {
 		return cmp.Compare(boolRank(a.Domain != domain), boolRank(b.Domain != domain))
 	})
 	return fallbacks
 }
 
-func sortByRank(hosts []Host, salt string) {
-	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(rank(salt, b.Name), rank(salt, a.Name)) })
-}
-
 func boolRank(b bool) int {
 	if b {
 		return 1
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -79,6 +79,8 @@
 	compacted catalog.Position
 	// history is how long removals are kept.
 	history time.Duration
+	// listing is set while a listing or a part of one is applied.
+	listing bool
 	// restores counts the incarnations of the store after the first.
 	restores int64
 }
@@ -114,11 +116,20 @@
 		r.directory.StartRecoveryGrace(now)
 	}
 	r.directory.ExtendRecoveryGrace(now, b.RecoveryGrace)
+	// A listing is logged in one line: with thousands of endpoints, a line for each
+	// takes a small host longer than all else at its start.
+	r.listing = b.Complete || known.IsZero()
 	for i := range b.Changes {
 		if r.applyChange(now, &b.Changes[i]) {
 			changed = true
 		}
 	}
+	if r.listing {
+		endpoints, draining := r.directory.Count()
+		event.Log(r.logger, event.StateReceived, logPosition(b.Position), slog.Bool("complete", b.Complete),
+			slog.Int("endpoints", endpoints), slog.Int("draining", draining), slog.Int("hosts", len(r.hosts)))
+	}
+	r.listing = false
 	if b.Complete && r.removeUnlisted(now, b) {
 		changed = true
 	}
@@ -253,7 +264,9 @@
 			logPosition(c.Position()), slog.String("error", err.Error()))
 		return r.directory.RemoveEndpoint(now, id, c.Position())
 	}
-	r.logEndpoint(e, c.Position())
+	if !r.listing {
+		r.logEndpoint(e, c.Position())
+	}
 	return r.directory.PutEndpoint(now, e, c.Position())
 }
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -78,7 +78,8 @@
 	}
 	d.logger = slog.New(slog.NewTextHandler(d.logWriter, &slog.HandlerOptions{Level: level}))
 	d.control = newControl(d.clock, d.logger, s.Bounds.FlowLifetime, s.Store.History)
-	host := follow.Host{Name: s.Name, Domain: s.Domain, Feed: s.Listen.FeedAdvertised}
+	host := follow.Host{Name: s.Name, Domain: s.Domain, Feed: s.Listen.FeedAdvertised,
+		Capacity: follow.CapacityOf(s.CPUShare, s.LinkMbps)}
 	d.ready = &readiness{control: d.control, logger: d.logger}
 	d.registrar = &registrar{host: host, store: d.store, control: d.control, logger: d.logger, shortestLease: s.Store.ShortestLease}
 	if err := d.listen(); err != nil {
--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -92,7 +92,7 @@
 // from their feed.
 func (s *syncer) confirmVersion(ctx context.Context) {
 	hosts := s.control.hosts(ctx)
-	if len(follow.Upstreams(hosts, s.host.Name, s.host.Domain)) > 0 {
+	if len(follow.Upstreams(hosts, s.host)) > 0 {
 		return
 	}
 	others := follow.Fallbacks(hosts, s.host.Name, s.host.Domain)
@@ -141,7 +141,7 @@
 // followPeers follows the first host of follow.Upstreams that may be tried, for as
 // long as its feed lasts. It reports whether there was one to try.
 func (s *syncer) followPeers(ctx context.Context) bool {
-	for _, peer := range follow.Upstreams(s.control.hosts(ctx), s.host.Name, s.host.Domain) {
+	for _, peer := range follow.Upstreams(s.control.hosts(ctx), s.host) {
 		if s.avoided(peer.Name) {
 			continue
 		}
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -23,6 +23,8 @@
 	defaultShortestLease = time.Second
 	// defaultMemoryMB, in units of 2^20 bytes, is well above what a relay needs.
 	defaultMemoryMB = 256
+	defaultCPUShare = 1.0
+	defaultLinkMbps = 1000.0
 	// maxMemoryMB keeps the size in bytes within 63 bits.
 	maxMemoryMB = 1 << 30
 )
@@ -40,6 +42,10 @@
 	// MemoryBytes is the size of the process's memory in bytes above which the
 	// process is killed.
 	MemoryBytes int64
+	// CPUShare is the process's share of a core, LinkMbps the bandwidth of its link in
+	// Mbit/s. Hosts with more of both feed the others.
+	CPUShare float64
+	LinkMbps float64
 }
 
 // RelayListen holds the addresses of a relay's listeners.
@@ -122,6 +128,8 @@
 	}
 	limits := root.Table("limits")
 	s.MemoryBytes = limits.IntegerIn("memory_mb", defaultMemoryMB, 1, maxMemoryMB) << 20
+	s.CPUShare = limits.Number("cpu_share", defaultCPUShare)
+	s.LinkMbps = limits.Number("link_mbps", defaultLinkMbps)
 	limits.RejectUnknown()
 	root.RejectUnknown()
 	return s
@@ -177,6 +185,15 @@
 			root.Report(name.key, "is empty", "a name")
 		}
 	}
+	limits := root.Table("limits")
+	for _, l := range []struct {
+		key   string
+		value float64
+	}{{"cpu_share", s.CPUShare}, {"link_mbps", s.LinkMbps}} {
+		if l.value <= 0 {
+			limits.Report(l.key, "is not positive", "a number above 0")
+		}
+	}
 	listen := root.Table("listen")
 	all := []listener{
 		{"packets", "udp", s.Listen.Packets},
