relay, follow: Do not act on attempts that ended, nor on cut responses

Cause, from the users' list of failures seen elsewhere, each shown by a test that failed first: a host that was paused or suspended for seconds, or whose timers were late, forwarded SYNs to further endpoints, and held ones, for callers that had given up their attempts (a forwarded SYN 3 s after the caller's). A page of a listing that says that more follow and holds no item ended the listing, so that all later keys counted as removed.

A starting host that serves by a part of a listing asks seeds only after 2 s of silence, since at the start of hundreds of hosts every page takes long and seeds are few.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -152,6 +152,9 @@
 		if err != nil {
 			return err
 		}
+		if page.More && len(page.Items) == 0 {
+			return merry.New("page of a listing is empty but not the last")
+		}
 		f.lastResponse.Store(int64(f.BootTime()))
 		if l.batch.Position.IsZero() {
 			l.batch.Position = page.Position()
@@ -166,7 +169,7 @@
 		if err := f.deliverPart(ctx, l, page); err != nil {
 			return err
 		}
-		if !page.More || len(page.Items) == 0 {
+		if !page.More {
 			f.partial, f.listedOnce = nil, true
 			f.cursor = l.batch.Position
 			l.batch.Reconnected = f.reconnected()
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -251,3 +251,18 @@
 	}
 	require.Greater(t, sum, 990*maxBackoff/2)
 }
+
+// TestEmptyPageIsNotTheEnd: a page that was cut says that more follow and holds no
+// item. The listing must not count as complete, or all keys after it would be taken
+// for removed.
+func TestEmptyPageIsNotTheEnd(t *testing.T) {
+	first := listOf(5, "a")
+	first.page.More = true
+	cut := step{want: `list "" after "a"`, page: platform.Page{Revision: 6, Incarnation: 1, More: true}}
+	rest := step{want: `list "" after "a"`, page: platform.Page{Revision: 6, Incarnation: 1, Items: []platform.Item{{Key: "b", Revision: 2}}}}
+	batches, waits, _ := runScript(t, first, cut, rest)
+	require.Positive(t, waits[0])
+	require.Len(t, batches, 2)
+	require.True(t, batches[1].Complete)
+	require.Len(t, batches[1].Changes, 2)
+}
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -139,7 +139,13 @@
 	}
 	for _, sv := range r.services {
 		for len(sv.held) > 0 && (r.draining || r.lagging || !sv.window.Full(now, sv.inFlight, r.fairLimit(sv))) {
-			r.release(now, sv.held[sv.first(now)])
+			f := sv.held[sv.first(now)]
+			if now >= f.waiter.Until {
+				// This host was paused, or its timers are late.
+				r.rejectHeld(now, f)
+				continue
+			}
+			r.release(now, f)
 		}
 	}
 }
--- a/internal/relay/hold_test.go
+++ b/internal/relay/hold_test.go
@@ -115,6 +115,7 @@
 	sent, events := r.drain()
 	require.Contains(t, events, "rejected no_route")
 	require.Contains(t, sent, "reset")
+	require.NotContains(t, r.relay.flows, flowOf(placed+1))
 
 	r, placed = heldHarness(t)
 	r.addEndpoint("i-2", "other")
@@ -191,3 +192,32 @@
 		require.Equal(t, held, r.relay.heldFlows)
 	}
 }
+
+// TestPausedHostContinuesNoAttemptThatEnded: a host that was paused for longer than
+// callers wait for an acceptance wakes up with held SYNs and SYNs without a handshake
+// ACK. Their callers have given up; it must not forward them, to any endpoint.
+func TestPausedHostContinuesNoAttemptThatEnded(t *testing.T) {
+	for name, wake := range map[string]func(r *harness){
+		"paused":    func(r *harness) { r.now += 3 * time.Second; r.relay.ResumeAfterPause(r.now, 3*time.Second) },
+		"suspended": func(r *harness) { r.relay.ResumeAfterPause(r.now, 3*time.Second) },
+		"late timers": func(r *harness) {
+			r.now += 3 * time.Second
+			r.finish(1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, placed := heldHarness(t)
+			r.addEndpoint("i-2", "s")
+			wake(r)
+			sent, _ := r.drain()
+			require.NotContains(t, sent, "i-2")
+			r.advance(time.Second)
+			sent, _ = r.drain()
+			require.NotContains(t, sent, "i-2", "no failover")
+			if name != "late timers" {
+				require.NotContains(t, r.relay.flows, flowOf(placed))
+			}
+			require.NotContains(t, r.relay.flows, flowOf(placed+1))
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -237,6 +237,19 @@
 	heap.Init(&r.timers)
 }
 
+// ResumeAfterPause is Resume after a pause of the given length, in which the clock may
+// have stood still. Attempts that callers have given up meanwhile are not continued:
+// their SYNs are neither sent to other endpoints nor forwarded after all.
+func (r *Relay) ResumeAfterPause(now, gap time.Duration) {
+	for _, f := range r.flows {
+		waits := f.state == stateOpening || f.state == stateHeld
+		if waits && max(gap, now-f.startedAt) >= openTimeout {
+			r.removeFlow(f)
+		}
+	}
+	r.Resume(now)
+}
+
 // SetLagging sets whether the host is lagging; once it no longer is, SetLagging
 // calls Resume.
 func (r *Relay) SetLagging(now time.Duration, lagging bool) {
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -56,6 +56,11 @@
 		}
 		return
 	}
+	if now-f.startedAt >= openTimeout {
+		// The timer is late: this host was paused. The caller has given up.
+		r.removeFlow(f)
+		return
+	}
 	r.recordUnansweredSYN(now, f)
 	f.timedOutTries = f.tries
 	f.count()
--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -56,6 +56,9 @@
 	// some tens of milliseconds. seedPollInterval is how often this is checked.
 	seedDelay        = 200 * time.Millisecond
 	seedPollInterval = 50 * time.Millisecond
+	// partialSeedDelay is the same for a host that serves by a part of the listing: at
+	// the start of hundreds of hosts pages take long, and seeds are few.
+	partialSeedDelay = 2 * time.Second
 	// seedTimeout bounds connecting to a seed and receiving its first update.
 	// seedInterval is the time between the starts of two requests to seeds.
 	seedTimeout  = time.Second
@@ -69,7 +72,7 @@
 func (s *syncer) bootstrap(ctx context.Context) {
 	order := rand.Perm(len(s.seeds))
 	for i := 0; ctx.Err() == nil && len(order) > 0 && s.control.progress(ctx).Position.IsZero(); {
-		if s.clock.BootTime()-s.follower.LastResponse() < seedDelay {
+		if s.clock.BootTime()-s.follower.LastResponse() < s.seedDelay() {
 			sleep(ctx, seedPollInterval)
 			continue
 		}
@@ -82,6 +85,13 @@
 	s.confirmVersion(ctx)
 }
 
+func (s *syncer) seedDelay() time.Duration {
+	if v := s.control.view.Load(); v != nil && v.Serves() {
+		return partialSeedDelay
+	}
+	return seedDelay
+}
+
 // maxConfirmations is how many other hosts a starting host asks at most for a later
 // configuration.
 const maxConfirmations = 2
--- a/internal/relayd/traffic.go
+++ b/internal/relayd/traffic.go
@@ -193,7 +193,7 @@
 	gap := now - t.lastRefresh + slept - t.lastSlept
 	t.lastCheck, t.lastSlept = now, slept
 	if gap > pauseThreshold {
-		t.relay.Resume(now)
+		t.relay.ResumeAfterPause(now, gap)
 		t.observer.paused(now, gap)
 	}
 }
--- a/standin/emu/host.go
+++ b/standin/emu/host.go
@@ -83,7 +83,7 @@
 	h.paused = true
 	h.emulator.At(h.emulator.now+span, func() {
 		h.paused = false
-		h.relay.Resume(h.emulator.now)
+		h.relay.ResumeAfterPause(h.emulator.now, span)
 		backlog := h.backlog
 		h.backlog = nil
 		for _, p := range backlog {
