relay, follow: Make three tests see the faults that they are about

Cause: mutations of the window's count (flows past their target, SYNs without a handshake ACK) and of the empty page passed. Change: tests that fail with each.

--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -261,7 +261,7 @@
 	cut := step{want: `list "" after "a"`, page: platform.Page{Revision: 6, Incarnation: 1, More: true}}
 	rest := step{want: `list "" after "a"`, page: platform.Page{Revision: 6, Incarnation: 1, Items: []platform.Item{{Key: "b", Revision: 2}}}}
 	batches, waits, _ := runScript(t, first, cut, rest)
-	require.Positive(t, waits[0])
+	require.Len(t, waits, 2, "a failure, then the rest")
 	require.Len(t, batches, 2)
 	require.True(t, batches[1].Complete)
 	require.Len(t, batches[1].Changes, 2)
--- a/internal/relay/hold_test.go
+++ b/internal/relay/hold_test.go
@@ -144,19 +144,28 @@
 // out of the rotation for a moment to another host, so this one never sees their
 // answers. It must not wait for them.
 func TestMovedFlowsDoNotFillTheWindow(t *testing.T) {
-	r, placed := heldHarness(t)
-	for port := uint16(1); port <= placed; port++ {
-		r.ack(port, "i-1", 5001, 10)
-	}
-	r.drain()
+	r := newHarness(t, 1)
 	r.configureTarget(100 * ms)
-	for port := uint16(50); port < 53; port++ {
+	for port := uint16(1); r.relay.stats.Held == 0; port++ {
 		r.syn(port, 0)
 		r.ack(port, "i-1", 5001, 10)
 	}
 	r.drain()
-	r.advance(r.relay.flows[flowOf(1)].valuable() + ms)
-	require.Zero(t, r.relay.service("s").inFlight)
+	r.advance(99 * ms)
+	sent, _ := r.drain()
+	require.Empty(t, sent)
+	r.syn(90, 0)
+	r.advance(2 * ms)
+	sent, _ = r.drain()
+	require.Equal(t, []string{"i-1"}, sent)
+}
+
+// TestUnansweredSYNsDoNotFillTheWindow: endpoints behind a network partition answer no
+// SYN. These take no slot, so they must not keep new flows from the other endpoints.
+func TestUnansweredSYNsDoNotFillTheWindow(t *testing.T) {
+	r, _ := heldHarness(t)
+	r.advance(initialHandshakeTimeout + ms)
+	require.Zero(t, r.relay.heldFlows)
 }
 
 // TestInFlightMatchesTheFlows: the count that the window goes by is that of the flows,
