--- a/internal/relay/packet_test.go
+++ b/internal/relay/packet_test.go
@@ -224,3 +224,28 @@
 	sent, _ = r.drain()
 	require.Equal(t, []string{holder, holder}, sent)
 }
+
+// TestReusedPortIsANewFlow: a caller opens a new flow from a port whose former flow
+// this host still knows. A late second copy of a packet of the former flow must not
+// join the new one, nor may the new flow go to the former one's endpoint.
+func TestReusedPortIsANewFlow(t *testing.T) {
+	r := newHarness(t, 1)
+	r.place(1)
+	r.finish(1)
+	r.drain()
+	r.addEndpoint("i-2", "s")
+	r.directory.RemoveEndpoint(r.now, "i-1", catalog.Position{Revision: 99})
+	r.publish()
+	r.packet(segment.Segment{Flow: flowOf(1), Sequence: 7000, Syn: true})
+	sent, events := r.drain()
+	require.Equal(t, []string{"i-2"}, sent)
+	require.Equal(t, []string{"placed"}, events)
+	r.packet(segment.Segment{Flow: flowOf(1), Token: catalog.TokenOf("i-2"), Sequence: 7001, Acknowledgement: 9001, Ack: true, DataBytes: 10})
+	r.drain()
+	// The late copy names the former endpoint by its token, and is answered there if at
+	// all; the flow stays where it is.
+	r.packet(segment.Segment{Flow: flowOf(1), Token: catalog.TokenOf("i-1"), Sequence: 1011, Acknowledgement: 6001, Ack: true})
+	state, _ := r.relay.Flow(r.now, flowOf(1))
+	require.Equal(t, "i-2", state.Endpoint)
+	require.Equal(t, "open", state.State)
+}
