balance: Test suspect endpoints as often as that succeeds, and prefer proven ones

Ended endpoints look free, answer a SYN with a reset, and end a caller's attempt at once; each of 26 hosts learnt of each of them by an attempt, and tried each one again up to once a second, before all others: 352 of 2,930 requests failed in two seconds.

Change: from three unanswered SYNs on, endpoints that were alive since the first of them are preferred by one answer time. A suspect endpoint whose suspicion has expired gets one of 2, 4, 8 new flows while such trials fail, and the next flow once one succeeds. A SYN that fails over goes to no suspect endpoint.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -84,6 +84,7 @@
 	// samples counts the answers whose times are in answerTime.
 	samples int
 	tally   Tally
+	trouble trouble
 }
 
 // Suspect reports whether new flows currently avoid the endpoint: SYNs to it were
@@ -120,6 +121,10 @@
 	return recovered
 }
 
+// RecordRecovery records that an endpoint of the service with unanswered SYNs has shown
+// that it is alive.
+func (s *Service) RecordRecovery() { s.trouble.recovered() }
+
 // AliveSince reports whether the endpoint was alive after the given time.
 func (e *Endpoint) AliveSince(since time.Duration) bool { return e.lastAlive > since }
 
@@ -139,11 +144,12 @@
 
 // RecordUnansweredSYN records that a SYN sent at the given time had no handshake
 // ACK.
-func (e *Endpoint) RecordUnansweredSYN(now, sent time.Duration) {
+func (e *Endpoint) RecordUnansweredSYN(now, sent time.Duration, s *Service) {
 	if sent < e.lastAlive {
 		// The endpoint was alive for others since; this packet was lost.
 		return
 	}
+	s.trouble.unanswered(now, sent)
 	e.unansweredSYNs++
 	e.probing = false
 	pause := min(initialSuspicion<<min(e.unansweredSYNs-1, 8), maxSuspicion)
@@ -257,7 +263,8 @@
 // answer, for a new flow. Ties are broken by the flow's hash, identically on
 // all hosts. A suspect endpoint is chosen only if it is cheaper than the others
 // by more than suspectPenalty, or if there is no other; one whose suspicion has
-// expired is chosen first, as a trial. Choose is designed for many short
+// expired is chosen first, as a trial, as often as trials have succeeded of late; see
+// trouble. Choose is designed for many short
 // requests to endpoints with few slots, some of which are queueing while others
 // are free, cold, slow, failing part of their requests, or dead without notice.
 // The choice has no Endpoint if there is no candidate or all were tried.
@@ -266,11 +273,12 @@
 	var bestSuspect Choice
 	var rank uint64
 	var suspectRank uint64
+	mayTry := s.trouble.allowsTrial(r.Now, len(r.Tried) > 0)
 	for _, e := range candidates {
 		if contains(r.Tried, e) {
 			continue
 		}
-		suspect := e.Suspect(r.Now)
+		suspect := e.Suspect(r.Now) || e.unansweredSYNs > 0 && !mayTry
 		c := Choice{Endpoint: e, Expected: e.Expected(r.Now, s), Trial: e.unansweredSYNs > 0 && !suspect}
 		c.Cost = c.Expected + extraCost(e, r, s)
 		score := rendezvousHash(r.Hash, uint64(e.Entry.Token()))
@@ -293,6 +301,7 @@
 	if best.Trial {
 		best.Endpoint.probing = true
 	}
+	s.trouble.chosen(best.Trial, len(r.Tried) > 0)
 	return best
 }
 
@@ -310,10 +319,14 @@
 	return rank < otherRank
 }
 
-// extraCost returns the cost of requests in progress, of a remote failure domain
-// and of failures.
+// extraCost returns the cost of requests in progress, of a remote failure domain, of
+// failures, and of an endpoint that may have ended with others.
 func extraCost(e *Endpoint, r Request, s *Service) time.Duration {
-	cost := time.Duration(busySlotCost * float64(s.UsualAnswerTime()) * float64(e.Busy))
+	var cost time.Duration
+	if s.trouble.doubts(r.Now, e.lastAlive) {
+		cost = time.Duration(unprovenCost * float64(s.UsualAnswerTime()))
+	}
+	cost += time.Duration(busySlotCost * float64(s.UsualAnswerTime()) * float64(e.Busy))
 	if e.Entry.Domain != r.Domain {
 		cost += remoteDomainCost
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -124,7 +124,7 @@
 	all := endpoints(3, "here")
 	var s Service
 	unresponsive := all[0]
-	unresponsive.RecordUnansweredSYN(10*ms, 0)
+	unresponsive.RecordUnansweredSYN(10*ms, 0, &s)
 	for hash := range uint64(100) {
 		c := Choose(request(11*ms, hash), &s, all)
 		require.NotSame(t, unresponsive, c.Endpoint)
@@ -140,11 +140,12 @@
 }
 
 func TestSuspicionGrowsToItsBound(t *testing.T) {
+	var s Service
 	all := endpoints(1, "here")
 	now := time.Duration(0)
 	pause := initialSuspicion
 	for range 10 {
-		all[0].RecordUnansweredSYN(now, now)
+		all[0].RecordUnansweredSYN(now, now, &s)
 		require.True(t, all[0].Suspect(now+pause-1))
 		require.False(t, all[0].Suspect(now+pause))
 		now += pause
@@ -158,7 +159,7 @@
 	all := endpoints(2, "here")
 	var s Service
 	for _, e := range all {
-		e.RecordUnansweredSYN(0, 0)
+		e.RecordUnansweredSYN(0, 0, &s)
 	}
 	require.NotNil(t, Choose(request(1, 1), &s, all).Endpoint)
 	require.Nil(t, Choose(request(1, 1), &s, nil).Endpoint)
@@ -172,7 +173,7 @@
 	var s Service
 	seedAnswerTimes(&s, all, 20*ms)
 	for _, e := range all[1:] {
-		e.RecordUnansweredSYN(0, 0)
+		e.RecordUnansweredSYN(0, 0, &s)
 	}
 	for range 40 {
 		Choose(request(ms, 7), &s, all).Endpoint.Busy++
@@ -185,16 +186,17 @@
 // deadAfterFailovers failovers in a row that are spread over time, until it is
 // seen alive.
 func TestConsideredDeadAfterFailovers(t *testing.T) {
+	var s Service
 	e := endpoints(1, "here")[0]
 	for i := range deadAfterFailovers {
 		require.False(t, e.Dead())
 		sent := time.Duration(i*30) * ms
-		e.RecordUnansweredSYN(sent+10*ms, sent)
+		e.RecordUnansweredSYN(sent+10*ms, sent, &s)
 		require.Equal(t, i == deadAfterFailovers-1, e.RecordFailover(sent))
 	}
 	e.RecordAlive(100 * ms)
 	require.False(t, e.Dead())
-	e.RecordUnansweredSYN(110*ms, 90*ms)
+	e.RecordUnansweredSYN(110*ms, 90*ms, &s)
 	require.False(t, e.RecordFailover(90*ms))
 	require.Zero(t, e.UnansweredSYNs(), "its SYN was sent before the endpoint was last alive")
 }
@@ -202,9 +204,10 @@
 // TestNotDeadWithoutFailovers: flows without a handshake ACK from any endpoint
 // say nothing about endpoints; their callers may have gone.
 func TestNotDeadWithoutFailovers(t *testing.T) {
+	var s Service
 	e := endpoints(1, "here")[0]
 	for i := range 20 {
-		e.RecordUnansweredSYN(time.Duration(i+15)*ms, time.Duration(i)*10*ms)
+		e.RecordUnansweredSYN(time.Duration(i+15)*ms, time.Duration(i)*10*ms, &s)
 	}
 	require.False(t, e.Dead())
 }
@@ -212,18 +215,20 @@
 // TestNotDeadAfterOneLossBurst: SYNs lost in one burst are no evidence that
 // the endpoint is dead.
 func TestNotDeadAfterOneLossBurst(t *testing.T) {
+	var s Service
 	e := endpoints(1, "here")[0]
 	for i := range 10 {
 		sent := time.Duration(i) * ms
-		e.RecordUnansweredSYN(sent+15*ms, sent)
+		e.RecordUnansweredSYN(sent+15*ms, sent, &s)
 		require.False(t, e.RecordFailover(sent))
 	}
 }
 
 func TestReset(t *testing.T) {
+	var s Service
 	all := endpoints(1, "here")
 	for i := range 5 {
-		all[0].RecordUnansweredSYN(time.Duration(i), time.Duration(i))
+		all[0].RecordUnansweredSYN(time.Duration(i), time.Duration(i), &s)
 	}
 	all[0].Reset()
 	require.False(t, all[0].Suspect(6))
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -55,6 +55,7 @@
 // flow: that endpoint accepted the SYN too late, so it is alive.
 func (r *Relay) recordLateAcceptance(now time.Duration, s segment.Segment) {
 	if late := r.endpoints[s.Token]; late != nil && late.RecordAlive(now) {
+		r.service(late.Entry.Service).observed.RecordRecovery()
 		r.options.Observer.Recovered(now, late)
 	}
 }
@@ -149,6 +150,7 @@
 func (r *Relay) recordAlive(now time.Duration, f *flow) {
 	f.progressAt = now
 	if f.endpoint.RecordAlive(now) {
+		f.service.observed.RecordRecovery()
 		r.options.Observer.Recovered(now, f.endpoint)
 	}
 }
--- a/internal/relay/packet_test.go
+++ b/internal/relay/packet_test.go
@@ -166,7 +166,7 @@
 	e := r.relay.endpoints[catalog.TokenOf("i-1")]
 	for i := range 5 {
 		sent := r.now + time.Duration(i)*50*ms
-		e.RecordUnansweredSYN(sent+10*ms, sent)
+		e.RecordUnansweredSYN(sent+10*ms, sent, &r.relay.service("s").observed)
 		e.RecordFailover(sent)
 	}
 	require.True(t, e.Dead())
@@ -175,7 +175,7 @@
 	r.ack(1, "i-1", 1, 10)
 	sent, _ := r.drain()
 	require.Equal(t, []string{"i-1", "i-1"}, sent)
-	e.RecordUnansweredSYN(r.now+50*ms, r.now+40*ms)
+	e.RecordUnansweredSYN(r.now+50*ms, r.now+40*ms, &r.relay.service("s").observed)
 	e.RecordFailover(r.now + 40*ms)
 	r.now += 200 * ms
 	r.ack(1, "i-1", 1, 10)
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -78,7 +78,7 @@
 // callers since: then the caller had gone before.
 func (r *Relay) recordUnansweredSYN(now time.Duration, f *flow) {
 	if f.tries == 1 {
-		f.endpoint.RecordUnansweredSYN(now, f.sentAt)
+		f.endpoint.RecordUnansweredSYN(now, f.sentAt, &f.service.observed)
 		r.options.Observer.Suspected(now, f.key, f.endpoint, now-f.sentAt)
 		return
 	}
