relay, follow: Split long functions, and separate a query from its count

Cause: the reading of the diff: Replica.Apply had grown long, and the choice of the next held flow also counted releases.

--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -116,36 +116,48 @@
 		r.directory.StartRecoveryGrace(now)
 	}
 	r.directory.ExtendRecoveryGrace(now, b.RecoveryGrace)
-	// A listing is logged in one line: with thousands of endpoints, a line for each
-	// takes a small host longer than all else at its start.
-	r.listing = b.Complete || known.IsZero()
-	for i := range b.Changes {
-		if r.applyChange(now, &b.Changes[i]) {
-			changed = true
-		}
+	if b.Complete || known.IsZero() {
+		changed = r.applyListing(now, b)
+	} else {
+		changed = r.applyChanges(now, b.Changes)
 	}
-	if r.listing {
-		endpoints, draining := r.directory.Count()
-		event.Log(r.logger, event.StateReceived, logPosition(b.Position), slog.Bool("complete", b.Complete),
-			slog.Int("endpoints", endpoints), slog.Int("draining", draining), slog.Int("hosts", len(r.hosts)))
-	}
-	r.listing = false
-	if b.Complete && r.removeUnlisted(now, b) {
+	if r.applyChanges(now, b.Later) {
 		changed = true
 	}
-	if b.Complete {
-		// Removals of keys that this host never knew are not among its items.
-		r.compacted = r.compacted.Max(b.Position)
-	}
 	for i := range b.Later {
-		if r.applyChange(now, &b.Later[i]) {
-			changed = true
-		}
 		r.directory.Advance(b.Later[i].Position())
 	}
 	r.directory.Advance(b.Position)
-	if b.AsOf > r.asOf {
-		r.asOf = b.AsOf
+	r.asOf = max(r.asOf, b.AsOf)
+	return changed
+}
+
+// applyListing applies a listing, or a part of one at the start. It logs one line: with
+// thousands of endpoints, a line for each takes a small host longer than all else at its
+// start.
+func (r *Replica) applyListing(now time.Duration, b Batch) (changed bool) {
+	r.listing = true
+	changed = r.applyChanges(now, b.Changes)
+	r.listing = false
+	endpoints, draining := r.directory.Count()
+	event.Log(r.logger, event.StateReceived, logPosition(b.Position), slog.Bool("complete", b.Complete),
+		slog.Int("endpoints", endpoints), slog.Int("draining", draining), slog.Int("hosts", len(r.hosts)))
+	if !b.Complete {
+		return changed
+	}
+	if r.removeUnlisted(now, b) {
+		changed = true
+	}
+	// Removals of keys that this host never knew are not among its items.
+	r.compacted = r.compacted.Max(b.Position)
+	return changed
+}
+
+func (r *Replica) applyChanges(now time.Duration, changes []platform.Change) (changed bool) {
+	for i := range changes {
+		if r.applyChange(now, &changes[i]) {
+			changed = true
+		}
 	}
 	return changed
 }
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -95,12 +95,11 @@
 	return time.Duration(ahead * float64(sv.observed.UsualAnswerTime()) / atOnce)
 }
 
-// first and last return the positions of the flow to forward next and of the last
-// one in the order.
-func (sv *service) first(now time.Duration) int {
+// next returns the position of the flow to forward next: the first in the order or, once
+// in lateShare releases, the first of those that are late.
+func (sv *service) next(now time.Duration) int {
 	takes := sv.observed.UsualAnswerTime()
-	sv.releases++
-	lateFirst := sv.releases%lateShare == 0
+	lateFirst := sv.releases%lateShare == lateShare-1
 	return sv.extreme(func(a, b *flow) bool {
 		if in := a.waiter.InTarget(now, takes); lateFirst && in != b.waiter.InTarget(now, takes) {
 			return !in
@@ -109,6 +108,7 @@
 	})
 }
 
+// last returns the position of the last flow in the order.
 func (sv *service) last(now time.Duration) int {
 	return sv.extreme(func(a, b *flow) bool { return b.waiter.Before(&a.waiter, now, sv.observed.UsualAnswerTime()) })
 }
@@ -139,7 +139,8 @@
 	}
 	for _, sv := range r.services {
 		for len(sv.held) > 0 && (r.draining || r.lagging || !sv.window.Full(now, sv.inFlight, r.fairLimit(sv))) {
-			f := sv.held[sv.first(now)]
+			f := sv.held[sv.next(now)]
+			sv.releases++
 			if now >= f.waiter.Until {
 				// This host was paused, or its timers are late.
 				r.rejectHeld(now, f)
--- a/standin/emu/result.go
+++ b/standin/emu/result.go
@@ -99,15 +99,20 @@
 	return false
 }
 
+// add adds other counts.
+func (c *Counts) add(other Counts) {
+	c.Requests += other.Requests
+	c.InTarget += other.InTarget
+	c.Late += other.Late
+	c.Failed += other.Failed
+	c.Worth += other.Worth
+	c.MaxWorth += other.MaxWorth
+}
+
 // Total returns the sum over all classes.
 func (r *Result) Total() (t Counts) {
 	for _, c := range r.Classes {
-		t.Requests += c.Requests
-		t.InTarget += c.InTarget
-		t.Late += c.Late
-		t.Failed += c.Failed
-		t.Worth += c.Worth
-		t.MaxWorth += c.MaxWorth
+		t.add(*c)
 	}
 	return t
 }
--- a/standin/emu/surge_test.go
+++ b/standin/emu/surge_test.go
@@ -25,12 +25,7 @@
 // to before the last.
 func (r *Result) between(first, last int) (t Counts) {
 	for _, s := range r.Seconds[first:last] {
-		t.Requests += s.Requests
-		t.InTarget += s.InTarget
-		t.Late += s.Late
-		t.Failed += s.Failed
-		t.Worth += s.Worth
-		t.MaxWorth += s.MaxWorth
+		t.add(s)
 	}
 	return t
 }
