--- a/standin/emu/emu.go
+++ b/standin/emu/emu.go
@@ -88,6 +88,32 @@
 	}
 }
 
+// LongRequests is a deployment of four hosts whose requests take long and use half of
+// the endpoints' slots.
+func LongRequests(seed uint64) Config {
+	c := Default(seed)
+	c.Domains, c.Hosts = 2, 2
+	c.Groups = []EndpointGroup{{"alerts", 14, 3, 8}, {"bulletins", 4, 3, 8}}
+	for i := range c.Classes[:2] {
+		c.Classes[i].Work = []time.Duration{55, 72}[i] * time.Millisecond
+		c.Classes[i].Target = []time.Duration{250, 300}[i] * time.Millisecond
+		c.Classes[i].Timeout = []time.Duration{2500, 3000}[i] * time.Millisecond
+	}
+	return c
+}
+
+// ManyHosts is a deployment of 24 hosts and 72 endpoints, of which each host sends few
+// requests to each.
+func ManyHosts(seed uint64) Config {
+	c := LongRequests(seed)
+	c.Domains, c.Hosts = 3, 8
+	c.Groups = []EndpointGroup{{"alerts", 56, 3, 8}, {"bulletins", 16, 3, 8}}
+	for i := range c.Classes {
+		c.Classes[i].Rate *= 3
+	}
+	return c
+}
+
 // callersPerDomain is the number of caller addresses in each domain.
 const callersPerDomain = 40
 
--- a/standin/emu/refusing_test.go
+++ b/standin/emu/refusing_test.go
@@ -7,23 +7,11 @@
 	"github.com/stretchr/testify/require"
 )
 
-// manyHosts is a deployment of 24 hosts and 72 endpoints, of which each host sends few
-// requests to each.
-func manyHosts(seed uint64) Config {
-	c := longRequests(seed)
-	c.Domains, c.Hosts = 3, 8
-	c.Groups = []EndpointGroup{{"alerts", 56, 3, 8}, {"bulletins", 16, 3, 8}}
-	for i := range c.Classes {
-		c.Classes[i].Rate *= 3
-	}
-	return c
-}
-
 // TestReplacedEndpointsRefuse: a third of a service's endpoints end and answer SYNs with
 // resets, while the store can't tell. They look free, and a refusal ends a caller's
 // attempt at once. Hosts must not each learn of each of them by callers' attempts.
 func TestReplacedEndpointsRefuse(t *testing.T) {
-	em := New(manyHosts(1))
+	em := New(ManyHosts(1))
 	em.At(2*time.Second, func() {
 		for i, e := range em.Endpoints("alerts") {
 			if i%3 == 0 {
@@ -43,7 +31,7 @@
 // TestPartitionHeals: half of the endpoints are silent for 4 s and come back
 // together, unchanged. The others must not stay overloaded.
 func TestPartitionHeals(t *testing.T) {
-	em := New(manyHosts(1))
+	em := New(ManyHosts(1))
 	em.At(2*time.Second, func() {
 		for i, e := range em.Endpoints("alerts") {
 			if i%2 != 0 {
--- a/standin/emu/surge_test.go
+++ b/standin/emu/surge_test.go
@@ -7,20 +7,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// longRequests is a deployment of four hosts whose requests take long and use half of
-// the endpoints' slots.
-func longRequests(seed uint64) Config {
-	c := Default(seed)
-	c.Domains, c.Hosts = 2, 2
-	c.Groups = []EndpointGroup{{"alerts", 14, 3, 8}, {"bulletins", 4, 3, 8}}
-	for i := range c.Classes[:2] {
-		c.Classes[i].Work = []time.Duration{55, 72}[i] * time.Millisecond
-		c.Classes[i].Target = []time.Duration{250, 300}[i] * time.Millisecond
-		c.Classes[i].Timeout = []time.Duration{2500, 3000}[i] * time.Millisecond
-	}
-	return c
-}
-
 // between sums the counts of the requests that started in the seconds from the first
 // to before the last.
 func (r *Result) between(first, last int) (t Counts) {
@@ -33,7 +19,7 @@
 // compareHolding runs the faults with and without holding.
 func compareHolding(t *testing.T, seed uint64, faults func(em *Emulator)) (with, without *Result) {
 	for _, disabled := range []bool{false, true} {
-		c := longRequests(seed)
+		c := LongRequests(seed)
 		c.Options.Disabled.Holding = disabled
 		em := New(c)
 		faults(em)
@@ -85,7 +71,7 @@
 
 // TestNothingIsHeldWithRoom: outside congestion no caller waits at a host.
 func TestNothingIsHeldWithRoom(t *testing.T) {
-	c := longRequests(1)
+	c := LongRequests(1)
 	em := New(c)
 	held := func() (n int64) {
 		for _, h := range em.Hosts() {
--- a/standin/experiment/experiment.go
+++ b/standin/experiment/experiment.go
@@ -32,6 +32,7 @@
 		{"no sending on", relay.Options{Disabled: relay.Features{Failover: true}}},
 		{"no death", relay.Options{Disabled: relay.Features{DeathDetection: true}}},
 		{"no admission", relay.Options{Disabled: relay.Features{Admission: true}}},
+		{"no holding", relay.Options{Disabled: relay.Features{Holding: true}}},
 		{"without failures", relay.Options{Choose: emu.WithoutFailures}},
 		{"least open", relay.Options{Choose: emu.LeastOpen}},
 		{"random", relay.Options{Choose: emu.Random}},
@@ -42,6 +43,25 @@
 type Scenario struct {
 	Name  string
 	Setup func(em *emu.Emulator)
+	// Deployment returns the deployment; nil means emu.Default.
+	Deployment func(seed uint64) emu.Config
+}
+
+// crowd triples the load for two seconds.
+func crowd(em *emu.Emulator) {
+	em.At(time.Second, func() { em.SetLoadFactor(3) })
+	em.At(3*time.Second, func() { em.SetLoadFactor(1) })
+}
+
+// outage stops all hosts for a span.
+func outage(span time.Duration) func(em *emu.Emulator) {
+	return func(em *emu.Emulator) {
+		em.At(2*time.Second, func() {
+			for _, h := range em.Hosts() {
+				h.Kill(span)
+			}
+		})
+	}
 }
 
 // Scenarios returns the scenarios under which the rules are compared.
@@ -54,39 +74,49 @@
 		}
 	}
 	return []Scenario{
-		{"calm", func(*emu.Emulator) {}},
-		{"crowd x3", func(em *emu.Emulator) {
-			em.At(time.Second, func() { em.SetLoadFactor(3) })
-			em.At(3*time.Second, func() { em.SetLoadFactor(1) })
+		{Name: "calm", Setup: func(*emu.Emulator) {}},
+		{Name: "crowd x3", Setup: crowd},
+		{Name: "crowd, long", Setup: crowd, Deployment: emu.LongRequests},
+		{Name: "outage 0.5 s", Setup: outage(500 * time.Millisecond), Deployment: emu.LongRequests},
+		{Name: "outage 1 s", Setup: outage(time.Second), Deployment: emu.LongRequests},
+		{Name: "outage 2 s", Setup: outage(2 * time.Second), Deployment: emu.LongRequests},
+		{Name: "a third refuses", Deployment: emu.ManyHosts, Setup: func(em *emu.Emulator) {
+			em.At(time.Second, func() {
+				for i, e := range em.Endpoints("alerts") {
+					if i%3 == 0 {
+						e.CrashRefusing(4*time.Second, 10*time.Second)
+					}
+				}
+			})
 		}},
-		{"dark endpoints", crash(1500*time.Millisecond, 3600*time.Millisecond)},
-		{"flapping", func(em *emu.Emulator) {
+		{Name: "dark endpoints", Setup: crash(1500*time.Millisecond, 3600*time.Millisecond)},
+		{Name: "flapping", Setup: func(em *emu.Emulator) {
 			for i := range 20 {
 				em.At(time.Duration(i)*250*time.Millisecond, func() {
 					em.Endpoints("alerts")[i%3].Crash(3600*time.Millisecond, 200*time.Millisecond)
 				})
 			}
 		}},
-		{"three slow x5", func(em *emu.Emulator) {
+		{Name: "three slow x5", Setup: func(em *emu.Emulator) {
 			em.At(time.Second, func() {
 				for _, e := range em.Endpoints("alerts")[:3] {
 					e.WorkFactor = 5
 				}
 			})
 		}},
-		{"two grey", func(em *emu.Emulator) {
+		{Name: "two grey", Setup: func(em *emu.Emulator) {
 			for _, e := range em.Endpoints("alerts")[:2] {
 				e.HangShare = 64
 			}
 		}},
-		{"three erring", func(em *emu.Emulator) {
+		{Name: "three erring", Setup: func(em *emu.Emulator) {
 			em.At(time.Second, func() {
 				for _, e := range em.Endpoints("alerts")[:3] {
 					e.ErrorShare = 128
 				}
 			})
 		}},
-		{"four refusing", func(em *emu.Emulator) {
+		{Name: "four refusing", Setup: func(em *emu.Emulator) {
 			em.SetLoadFactor(1.4)
 			em.At(time.Second, func() {
 				for _, e := range em.Endpoints("alerts")[:4] {
@@ -94,7 +124,7 @@
 				}
 			})
 		}},
-		{"hosts replaced", func(em *emu.Emulator) {
+		{Name: "hosts replaced", Setup: func(em *emu.Emulator) {
 			for i, h := range em.Hosts() {
 				em.At(time.Duration(i+1)*1200*time.Millisecond, func() { h.Kill(400 * time.Millisecond) })
 			}
@@ -121,7 +151,11 @@
 	var cells []Cell
 	for _, scenario := range Scenarios() {
 		for _, rule := range Rules() {
-			c := emu.Default(seed)
+			deployment := scenario.Deployment
+			if deployment == nil {
+				deployment = emu.Default
+			}
+			c := deployment(seed)
 			c.Options = rule.Options
 			em := emu.New(c)
 			scenario.Setup(em)
