relay: Do not reset SYNs that waited in the socket for want of an endpoint

Change: a lagging host drops a SYN for which there is no endpoint. The caller sends copies, or makes its next attempt.

Measured: the test failed before (a reset).

--- a/internal/relay/lagging_test.go
+++ b/internal/relay/lagging_test.go
@@ -100,3 +100,20 @@
 		require.Zero(t, e.Busy)
 	}
 }
+
+// TestLaggingHostDoesNotResetWaitingSYNs: a host that was stalled applies the removal of
+// all entries, which lapsed meanwhile, and then reads SYNs that waited in its socket. The
+// entries are about to come back, and another host may have forwarded copies of these
+// SYNs, so that a reset would end an open flow (soak seed 14006).
+func TestLaggingHostDoesNotResetWaitingSYNs(t *testing.T) {
+	r := newHarness(t, 0)
+	r.relay.SetLagging(r.now, true)
+	r.syn(1, 0)
+	sent, events := r.drain()
+	require.Empty(t, sent)
+	require.Equal(t, []string{"dropped lagging"}, events)
+	r.relay.SetLagging(r.now, false)
+	r.syn(2, 0)
+	sent, _ = r.drain()
+	require.Equal(t, []string{"reset"}, sent)
+}
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -28,11 +28,14 @@
 	DropNoRoute
 	// DropEnded is not used.
 	DropEnded
+	// DropLagging: a SYN for which there is no endpoint has waited in this host's socket.
+	// Another host may have forwarded a copy of it meanwhile, so it is not reset.
+	DropLagging
 	dropReasons
 )
 
 var dropNames = [dropReasons]string{
-	"looped", "no_configuration", "no_token", "unknown_endpoint", "foreign_service", "no_route", "ended",
+	"looped", "no_configuration", "no_token", "unknown_endpoint", "foreign_service", "no_route", "ended", "lagging",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -63,6 +63,10 @@
 func (r *Relay) place(now time.Duration, route *catalog.Route, s segment.Segment, frame []byte) {
 	sv := r.serviceFor(route, s.Flow.Hash())
 	if len(sv.candidates) == 0 {
+		if r.lagging {
+			r.drop(now, s.Flow, DropLagging)
+			return
+		}
 		p := r.placement(s.Flow, route.Name, sv.name)
 		p.Retransmissions = s.Retransmissions()
 		r.reject(now, p, s.Acknowledgement, RejectNoEndpoint)
