--- a/internal/relayd/registrar.go
+++ b/internal/relayd/registrar.go
@@ -51,18 +51,38 @@
 	// registeredAt is the position of the registration; zero if it is not known
 	// whether the store has it.
 	registeredAt catalog.Position
-	// stop ends run, which closes ended when it returns.
-	stop  context.CancelFunc
-	ended chan struct{}
+	// stopping is closed to end run; ended is closed when it has returned.
+	stopping chan struct{}
+	ended    chan struct{}
+}
+
+func newRegistrar(host follow.Host, store *platform.Store, c *control, logger *slog.Logger, shortestLease time.Duration) *registrar {
+	return &registrar{
+		host: host, store: store, control: c, logger: logger, shortestLease: shortestLease,
+		stopping: make(chan struct{}), ended: make(chan struct{}),
+	}
 }
 
 // start keeps the host registered, in the background, once it has received the
-// store's state, until deregister is called or the context ends.
+// store's state, until deregister is called or the context ends. After deregister it
+// does nothing: a shutdown may begin during the start.
 func (r *registrar) start(ctx context.Context) {
-	ctx, r.stop = context.WithCancel(ctx)
-	r.ended = make(chan struct{})
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-r.stopping:
+		case <-ctx.Done():
+		}
+		cancel()
+	}()
 	go func() {
 		defer close(r.ended)
+		defer cancel()
+		select {
+		case <-r.stopping:
+			return
+		default:
+		}
 		r.awaitState(ctx)
 		r.run(ctx)
 	}()
@@ -185,13 +205,17 @@
 }
 
 // deregister ends run, which would otherwise register the leaving host again, and
-// removes the host's key unless it has changed since the registration: a
-// call that is executed late must not remove the registration of the host's next
-// process. The lease is not revoked, as a restored store may have granted its ID to
-// another host.
+// removes the host's key unless it has changed since the registration: a call that is
+// executed late must not remove the registration of the host's next process. The lease
+// is not revoked, as a restored store may have granted its ID to another host. It is
+// called at most once.
 func (r *registrar) deregister(ctx context.Context) {
-	r.stop()
-	<-r.ended
+	close(r.stopping)
+	select {
+	case <-r.ended:
+	case <-time.After(callTimeout):
+		return
+	}
 	if r.lease.ID == 0 {
 		return
 	}
--- a/internal/relayd/registrar_test.go
+++ b/internal/relayd/registrar_test.go
@@ -54,11 +54,9 @@
 	c.onPublish = func() {}
 	go c.run(t.Context())
 	c.apply(t.Context(), state)
-	r = &registrar{
-		host:    follow.Host{Name: "a", Domain: "d", Feed: netip.MustParseAddrPort("127.0.0.1:1")},
-		store:   platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String())),
-		control: c, logger: logger, shortestLease: time.Second,
-	}
+	r = newRegistrar(
+		follow.Host{Name: "a", Domain: "d", Feed: netip.MustParseAddrPort("127.0.0.1:1")},
+		platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String())), c, logger, time.Second)
 	r.start(t.Context())
 	<-registered
 	for len(s.calls) > 0 {
@@ -99,9 +97,27 @@
 	r.deregister(t.Context())
 	<-s.calls
 	c.apply(t.Context(), follow.Batch{Complete: true, Position: catalog.Position{Incarnation: 2, Revision: 3}})
-	again := &registrar{host: r.host, store: r.store, control: c, logger: r.logger, shortestLease: time.Second}
+	again := newRegistrar(r.host, r.store, c, r.logger, time.Second)
 	again.start(t.Context())
 	written := <-s.calls
 	require.True(t, strings.Contains(written, `"Value":"a25vd24="`), written)
 	require.Contains(t, written, `"ExpectedRevision":[{"Key":"toucangap/secret","Revision":0}]`)
 }
+
+// TestShutdownDuringTheStart: SIGTERM arrives before the host has begun to register. It
+// must neither fail nor register.
+func TestShutdownDuringTheStart(t *testing.T) {
+	c := newControl(newClock(), slog.New(slog.DiscardHandler), time.Minute, time.Minute)
+	store := platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1"))
+	r := newRegistrar(follow.Host{Name: "a"}, store, c, slog.New(slog.DiscardHandler), time.Second)
+	done := make(chan struct{})
+	go func() {
+		r.deregister(t.Context())
+		close(done)
+	}()
+	<-r.stopping
+	r.start(t.Context())
+	<-done
+	<-r.ended
+	require.Zero(t, store.Calls())
+}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -81,7 +81,7 @@
 	host := follow.Host{Name: s.Name, Domain: s.Domain, Feed: s.Listen.FeedAdvertised,
 		Capacity: follow.CapacityOf(s.CPUShare, s.LinkMbps)}
 	d.ready = &readiness{control: d.control, logger: d.logger}
-	d.registrar = &registrar{host: host, store: d.store, control: d.control, logger: d.logger, shortestLease: s.Store.ShortestLease}
+	d.registrar = newRegistrar(host, d.store, d.control, d.logger, s.Store.ShortestLease)
 	if err := d.listen(); err != nil {
 		d.logWriter.Close(logFlushTimeout)
 		return nil, err
