relay: Leave held flows alone that routers have moved to another host

A SYN held here may be of a flow that another host has opened with the caller's next copy, when routers changed in between. At the end of its time this host would have reset that open flow, and with room it would have sent the old SYN to a second endpoint, whose token the caller would then use.

Change: a held flow of which a due copy (200 and 600 ms after the first) did not come here is forgotten (drop reason moved); a copy that comes after all is handled like a first.

--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -24,6 +24,8 @@
 	lateShare = 3
 	// maxHeld limits the flows that a service's queue holds.
 	maxHeld = 512
+	// copyDelay is how late a copy of a SYN may come.
+	copyDelay = 50 * time.Millisecond
 )
 
 // synTimes are when callers send the copies of a SYN, counted from the first.
@@ -33,6 +35,14 @@
 // the first SYN, a caller sent its first SYN.
 func sinceFirstSYN(n uint32) time.Duration { return synTimes[min(int(n), len(synTimes)-1)] }
 
+// moved reports whether a copy of a held flow's SYN is missing that its caller should have
+// sent by now: routers have moved the flow to another host, which may have forwarded it,
+// or it is open. This host must then neither forward nor reset it.
+func (f *flow) moved(now time.Duration) bool {
+	next := int(f.retransmissions) + 1
+	return next < len(synTimes) && now > f.waiter.Since+synTimes[next]+copyDelay
+}
+
 // slotShare returns the host's share of a service's slots.
 func (r *Relay) slotShare(sv *service) float64 {
 	hosts := 1
@@ -153,6 +163,10 @@
 
 // release forwards a held flow under the present configuration.
 func (r *Relay) release(now time.Duration, f *flow) {
+	if f.moved(now) {
+		r.dropMoved(now, f)
+		return
+	}
 	r.removeHeld(f)
 	route := r.view.Route(f.key.Destination)
 	if route != nil {
@@ -174,10 +188,21 @@
 func (r *Relay) handleHoldTimeout(now time.Duration, f *flow) { r.rejectHeld(now, f) }
 
 func (r *Relay) rejectHeld(now time.Duration, f *flow) {
+	if f.moved(now) {
+		r.dropMoved(now, f)
+		return
+	}
 	r.removeHeld(f)
 	r.rejectFlow(now, f, RejectOverload)
 }
 
+// dropMoved forgets a held flow. If its caller sends another copy here after all, that
+// one is handled like a first.
+func (r *Relay) dropMoved(now time.Duration, f *flow) {
+	r.removeFlow(f)
+	r.drop(now, f.key, DropMoved)
+}
+
 // rejectFlow removes a flow that was never forwarded and resets it.
 func (r *Relay) rejectFlow(now time.Duration, f *flow, reason Rejection) {
 	p := r.placement(f.key, f.route, f.service.name)
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -31,11 +31,13 @@
 	// DropLagging: a SYN for which there is no endpoint has waited in this host's socket.
 	// Another host may have forwarded a copy of it meanwhile, so it is not reset.
 	DropLagging
+	// DropMoved: a copy of a held SYN is missing, so another host may have forwarded it.
+	DropMoved
 	dropReasons
 )
 
 var dropNames = [dropReasons]string{
-	"looped", "no_configuration", "no_token", "unknown_endpoint", "foreign_service", "no_route", "ended", "lagging",
+	"looped", "no_configuration", "no_token", "unknown_endpoint", "foreign_service", "no_route", "ended", "lagging", "moved",
 }
 
 // String returns the reason's name in logs and metrics.
