--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -120,7 +120,10 @@
 	if err != nil {
 		panic(err) // all fields of the entry can be marshaled
 	}
-	e.site.Store.Put("servers/"+e.id, value, 3*heartbeat)
+	accepted := e.site.Store.Put("servers/"+e.id, value, 3*heartbeat)
+	if accepted && e.draining && e.DrainDeadline == 0 {
+		e.drainAccepted()
+	}
 }
 
 // renewEntries renews the store entries of all endpoints.
@@ -169,8 +172,13 @@
 // from the store 2 s after DrainBound.
 func (e *Endpoint) Drain() {
 	e.draining = true
-	e.DrainDeadline = e.site.now() + DrainBound
 	e.register()
+}
+
+// drainAccepted sets the deadline for new flows, which counts from the store's acceptance
+// of the report, and removes the endpoint some time after it.
+func (e *Endpoint) drainAccepted() {
+	e.DrainDeadline = e.site.now() + DrainBound
 	time.AfterFunc(DrainBound+2*time.Second, func() {
 		e.site.mu.Lock()
 		defer e.site.mu.Unlock()
