balance: Do not prefer endpoints that were alive since a trouble began

The preference for proven endpoints then sends the next flows to few of them, so that one collects three failovers within 40 ms and more, counts as dead, and its waiting flows are reset. That this was the path is an inference.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -149,7 +149,7 @@
 		// The endpoint was alive for others since; this packet was lost.
 		return
 	}
-	s.trouble.unanswered(now, sent)
+	s.trouble.unanswered(now)
 	e.unansweredSYNs++
 	e.probing = false
 	pause := min(initialSuspicion<<min(e.unansweredSYNs-1, 8), maxSuspicion)
@@ -319,14 +319,10 @@
 	return rank < otherRank
 }
 
-// extraCost returns the cost of requests in progress, of a remote failure domain, of
-// failures, and of an endpoint that may have ended with others.
+// extraCost returns the cost of requests in progress, of a remote failure domain
+// and of failures.
 func extraCost(e *Endpoint, r Request, s *Service) time.Duration {
-	var cost time.Duration
-	if s.trouble.doubts(r.Now, e.lastAlive) {
-		cost = time.Duration(unprovenCost * float64(s.UsualAnswerTime()))
-	}
-	cost += time.Duration(busySlotCost * float64(s.UsualAnswerTime()) * float64(e.Busy))
+	cost := time.Duration(busySlotCost * float64(s.UsualAnswerTime()) * float64(e.Busy))
 	if e.Entry.Domain != r.Domain {
 		cost += remoteDomainCost
 	}
--- a/internal/balance/trouble.go
+++ b/internal/balance/trouble.go
@@ -3,37 +3,33 @@
 import "time"
 
 const (
-	// troubleMemory is how long after an unanswered SYN other endpoints of the service
-	// are doubted.
+	// troubleMemory is how long after an unanswered SYN a trouble lasts.
 	troubleMemory = 3 * time.Second
-	// troubledSYNs is the number of unanswered SYNs from which that is so: single ones
+	// troubledSYNs is the number of unanswered SYNs from which it is one: single ones
 	// are lost packets.
 	troubledSYNs = 3
-	// unprovenCost times the usual answer time is added for an endpoint that has not
-	// been alive since the trouble began: one more request at a proven one is preferred.
-	unprovenCost = 1.0
 	// maxTrialInterval is the highest number of new flows of which one is a trial.
 	maxTrialInterval = 8
 )
 
 // trouble is a time in which SYNs to endpoints of one service are unanswered. It answers
 // many endpoints that end together while the store can't tell: they look free, a
-// refusal ends a caller's attempt at once, and each host would learn of each of them by
-// an attempt. Endpoints that were alive since the trouble began are preferred, and of
-// several new flows only one tests a suspect endpoint, fewer while the tests fail.
+// refusal ends a caller's attempt at once, and each host would try each of them again
+// and again, before all others. Of several new flows only one tests a suspect endpoint,
+// fewer while the tests fail.
 type trouble struct {
-	// since is when the first unanswered SYN was sent, last when one was recorded;
-	// count is their number.
-	since, last time.Duration
-	count       int
+	// last is when an unanswered SYN was recorded last, count their number since the
+	// trouble began.
+	last  time.Duration
+	count int
 	// trialInterval is the number of new flows of which one may be a trial, up to
 	// maxTrialInterval; sinceTrial counts those after the last trial.
 	trialInterval, sinceTrial int
 }
 
-func (t *trouble) unanswered(now, sent time.Duration) {
-	if t.count == 0 || now > t.last+troubleMemory {
-		t.since, t.count = sent, 0
+func (t *trouble) unanswered(now time.Duration) {
+	if now > t.last+troubleMemory {
+		t.count = 0
 	}
 	t.last = now
 	t.count++
@@ -44,12 +40,6 @@
 // together.
 func (t *trouble) recovered() { t.trialInterval = 1 }
 
-// doubts reports whether an endpoint that was last alive at the given time may have
-// ended.
-func (t *trouble) doubts(now, lastAlive time.Duration) bool {
-	return t.count >= troubledSYNs && now <= t.last+troubleMemory && lastAlive < t.since
-}
-
 // allowsTrial reports whether a flow may go to an endpoint whose suspicion has expired.
 // A SYN that fails over has waited already and is no trial.
 func (t *trouble) allowsTrial(now time.Duration, failover bool) bool {
