feed, relayd: Record how long updates of other hosts take to arrive

The logs could not tell a large update on a slow link from a feed that fell silent: event 9011 gives the age of the state alone. Event 9024 gives size and duration of an update that took 250 ms or more; update_transfer_milliseconds and change_age_milliseconds are histograms of the same for all updates. No decision changes.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -79,6 +79,7 @@
 	StoreRestored
 	UpdateIgnored
 	StateReceived
+	UpdateSlow
 )
 
 var followerArea = Area{
@@ -108,5 +109,6 @@
 		{StoreRestored, slog.LevelWarn, "store was restored from an older copy", "Check that operators' changes since the copy are written again; hosts and endpoints do so by themselves. See docs/OPERATIONS.md."},
 		{UpdateIgnored, slog.LevelInfo, "update of another incarnation of the store ignored", "None; the source was behind a restore of the store, or ahead of this host."},
 		{StateReceived, slog.LevelInfo, "state received from a listing or a peer", "None; the dump has the single endpoints."},
+		{UpdateSlow, slog.LevelWarn, "update from another host took long to arrive", "Compare the update's size with the links of both hosts; changes that came with it are late by that time."},
 	},
 }
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
 
 	"toucangap/internal/catalog"
 	"toucangap/internal/feed/feedpb"
@@ -37,6 +38,9 @@
 	OnConnected func()
 	// OnBatch receives the peer's updates.
 	OnBatch func(follow.Batch)
+	// OnTransfer, if not nil, receives the size of each update in bytes and the time
+	// from its first byte to its last one.
+	OnTransfer func(bytes int, took time.Duration)
 	// Exchange passes failure reports in both directions. It must be nil unless
 	// the peer is in the same failure domain and the secret is known.
 	Exchange Exchange
@@ -133,9 +137,13 @@
 // missed a restore of the store.
 func (c *Client) receiveUpdate(conn *connection, peer string) error {
 	var update feedpb.News
-	if err := conn.receive(&update, c.SilenceTimeout); err != nil {
+	took, err := conn.receiveTimed(&update, c.SilenceTimeout)
+	if err != nil {
 		return merry.Prepend(err, "read from the feed")
 	}
+	if c.OnTransfer != nil {
+		c.OnTransfer(proto.Size(&update), took)
+	}
 	if update.Incarnation < c.Progress.Position.Incarnation {
 		return ErrBehind
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -90,8 +90,20 @@
 }
 
 func (c *connection) receive(m proto.Message, timeout time.Duration) error {
+	_, err := c.receiveTimed(m, timeout)
+	return err
+}
+
+// receiveTimed receives a message and returns the time from its first byte to its
+// last one.
+func (c *connection) receiveTimed(m proto.Message, timeout time.Duration) (took time.Duration, err error) {
 	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		return err
+		return 0, err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return 0, err
 	}
-	return protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}.UnmarshalFrom(c.reader, m)
+	begun := time.Now()
+	err = protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}.UnmarshalFrom(c.reader, m)
+	return time.Since(begun), err
 }
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"toucangap/internal/catalog"
 	"toucangap/internal/follow"
 )
@@ -26,6 +28,9 @@
 	restores atomic.Int64
 	// hostCount is the number of registered hosts.
 	hostCount atomic.Int64
+	// changeAges samples the age of the source's state, in milliseconds, when changes
+	// are applied: they are late by no more than that.
+	changeAges metrics.Histogram
 	// onPublish is called after each new view.
 	onPublish func()
 
@@ -35,12 +40,15 @@
 	changed chan struct{}
 }
 
-func newControl(c *clock, logger *slog.Logger, flowLifetime, history time.Duration) *control {
+func newControl(
+	c *clock, logger *slog.Logger, registry metrics.Registry, flowLifetime, history time.Duration,
+) *control {
 	return &control{
-		clock:   c,
-		replica: follow.NewReplica(logger, flowLifetime, history),
-		tasks:   make(chan func()),
-		changed: make(chan struct{}),
+		clock:      c,
+		replica:    follow.NewReplica(logger, flowLifetime, history),
+		tasks:      make(chan func()),
+		changeAges: newHistogram(registry, "change_age_milliseconds"),
+		changed:    make(chan struct{}),
 	}
 }
 
@@ -93,6 +101,9 @@
 		c.hostCount.Store(int64(c.replica.HostCount()))
 		asOf := c.replica.AsOf()
 		c.asOf.Store(int64(asOf))
+		if len(b.Changes) > 0 {
+			c.changeAges.Update((c.clock.BootTime() - b.AsOf).Milliseconds())
+		}
 		if changed {
 			c.publish()
 		}
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -16,6 +16,19 @@
 	}
 }
 
+// The histograms' sample size and decay, which favors the last minutes.
+const (
+	sampleSize  = 256
+	sampleDecay = 0.015
+)
+
+// newHistogram returns a registered histogram.
+func newHistogram(registry metrics.Registry, name string) metrics.Histogram {
+	h := metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	register(registry, name, h)
+	return h
+}
+
 // registerGauges registers gauges that read existing counters on demand.
 func (d *Daemon) registerGauges(registry metrics.Registry) {
 	functional := func(name string, value func() int64) {
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -26,12 +26,6 @@
 	summaryInterval = 5 * time.Second
 )
 
-// The histograms' sample size and decay, which favors the last minutes.
-const (
-	sampleSize  = 256
-	sampleDecay = 0.015
-)
-
 // observer writes the relay's decisions to the log and the histograms. It is
 // for use by the traffic goroutine.
 type observer struct {
@@ -55,11 +49,9 @@
 		age:        age,
 		routine:    newLimiter(routineLines, routineBurst),
 		noteworthy: newLimiter(noteworthyLines, noteworthyBurst),
-		accept:     metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay)),
-		answer:     metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay)),
+		accept:     newHistogram(registry, "flow_accept_microseconds"),
+		answer:     newHistogram(registry, "request_answer_microseconds"),
 	}
-	register(registry, "flow_accept_microseconds", o.accept)
-	register(registry, "request_answer_microseconds", o.answer)
 	return o
 }
 
--- a/internal/relayd/packet_bench_test.go
+++ b/internal/relayd/packet_bench_test.go
@@ -81,7 +81,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	c := newClock()
 	t := &traffic{
-		clock: c, conn: conn, control: newControl(c, logger, time.Minute, time.Minute), logger: logger,
+		clock: c, conn: conn, control: newControl(c, logger, metrics.NewRegistry(), time.Minute, time.Minute), logger: logger,
 		observer: newObserver(logger, func() time.Duration { return 0 }, metrics.NewRegistry()),
 	}
 	t.relay = relay.New(relay.Options{Domain: "d", MaxFlows: 1000, FlowLifetime: time.Hour, Output: t, Observer: t.observer}, 0)
--- a/internal/relayd/registrar_test.go
+++ b/internal/relayd/registrar_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"toucangap/internal/catalog"
@@ -50,7 +51,7 @@
 	t.Cleanup(server.Close)
 	registered := make(announced, 1)
 	logger := slog.New(slog.NewTextHandler(registered, nil))
-	c = newControl(newClock(), logger, time.Minute, time.Minute)
+	c = newControl(newClock(), logger, metrics.NewRegistry(), time.Minute, time.Minute)
 	c.onPublish = func() {}
 	go c.run(t.Context())
 	c.apply(t.Context(), state)
@@ -107,7 +108,7 @@
 // TestShutdownDuringTheStart: SIGTERM arrives before the host has begun to register. It
 // must neither fail nor register.
 func TestShutdownDuringTheStart(t *testing.T) {
-	c := newControl(newClock(), slog.New(slog.DiscardHandler), time.Minute, time.Minute)
+	c := newControl(newClock(), slog.New(slog.DiscardHandler), metrics.NewRegistry(), time.Minute, time.Minute)
 	store := platform.NewStore(netip.MustParseAddrPort("127.0.0.1:1"))
 	r := newRegistrar(follow.Host{Name: "a"}, store, c, slog.New(slog.DiscardHandler), time.Second)
 	done := make(chan struct{})
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -77,7 +77,7 @@
 		registry:  metrics.NewRegistry(),
 	}
 	d.logger = slog.New(slog.NewTextHandler(d.logWriter, &slog.HandlerOptions{Level: level}))
-	d.control = newControl(d.clock, d.logger, s.Bounds.FlowLifetime, s.Store.History)
+	d.control = newControl(d.clock, d.logger, d.registry, s.Bounds.FlowLifetime, s.Store.History)
 	host := follow.Host{Name: s.Name, Domain: s.Domain, Feed: s.Listen.FeedAdvertised,
 		Capacity: follow.CapacityOf(s.CPUShare, s.LinkMbps)}
 	d.ready = &readiness{control: d.control, logger: d.logger}
@@ -193,15 +193,16 @@
 
 func (d *Daemon) syncer() *syncer {
 	s := &syncer{
-		host:     d.registrar.host,
-		seeds:    d.settings.Seeds,
-		clock:    d.clock,
-		control:  d.control,
-		store:    d.store,
-		exchange: d.exchange,
-		timings:  d.timings,
-		logger:   d.logger,
-		retryAt:  make(map[string]time.Duration),
+		host:      d.registrar.host,
+		seeds:     d.settings.Seeds,
+		clock:     d.clock,
+		control:   d.control,
+		store:     d.store,
+		exchange:  d.exchange,
+		timings:   d.timings,
+		logger:    d.logger,
+		retryAt:   make(map[string]time.Duration),
+		transfers: newHistogram(d.registry, "update_transfer_milliseconds"),
 	}
 	s.follower = &follow.Follower{
 		Store:    d.store,
--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"toucangap/internal/event"
 	"toucangap/internal/feed"
 	"toucangap/internal/follow"
@@ -30,6 +32,9 @@
 	follower *follow.Follower
 	timings  follow.Timings
 	logger   *slog.Logger
+	// transfers samples how long updates of other hosts take to arrive, in
+	// milliseconds.
+	transfers metrics.Histogram
 	// retryAt is when a host may be tried again, on the monotonic clock.
 	retryAt map[string]time.Duration
 }
@@ -202,6 +207,7 @@
 		OnConnected: func() {
 			event.Log(s.logger, event.FeedConnected, slog.String("host", peer.Name))
 		},
+		OnTransfer: func(bytes int, took time.Duration) { s.recordTransfer(peer.Name, bytes, took) },
 		OnBatch: func(b follow.Batch) {
 			useful = useful || s.clock.BootTime()-b.AsOf <= s.timings.MaxAge
 			s.store.Observe(b.Position.Incarnation)
@@ -218,6 +224,19 @@
 	return useful
 }
 
+// slowTransfer is the time for receiving an update from which it is logged. Small
+// changes take milliseconds.
+const slowTransfer = 250 * time.Millisecond
+
+// recordTransfer records how long an update of a peer took to arrive.
+func (s *syncer) recordTransfer(peer string, bytes int, took time.Duration) {
+	s.transfers.Update(took.Milliseconds())
+	if took >= slowTransfer {
+		event.Log(s.logger, event.UpdateSlow, slog.String("host", peer), slog.Int("bytes", bytes),
+			slog.Duration("took", took), slog.Duration("view_age", s.control.age()))
+	}
+}
+
 // avoided reports whether the host must not be tried yet.
 func (s *syncer) avoided(name string) bool { return s.clock.Monotonic() < s.retryAt[name] }
 
