feed: Failing tests of changes that wait behind a large configuration

A host on a link of 10 Mbit/s feeds 12 others. An update is one message with all changes, sent within a timeout of 1 s and received within 1.67 s whatever its size: with a configuration of 750 KB no transfer ends in time, and each begins anew. In virtual time 432 feeds end within a minute, and neither the configuration nor the drain that came with it arrives.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -60,6 +60,11 @@
 	if err != nil {
 		return merry.Prepend(err, "connect to the feed")
 	}
+	return c.run(ctx, raw, peer.Name)
+}
+
+// run receives the peer's updates over the connection, and closes it.
+func (c *Client) run(ctx context.Context, raw net.Conn, peer string) error {
 	defer raw.Close()
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
@@ -69,9 +74,9 @@
 	}
 	c.OnConnected()
 	// receiveUpdate notices a lost connection.
-	go c.sendPings(conn, peer.Name)
+	go c.sendPings(conn, peer)
 	for ctx.Err() == nil {
-		if err := c.receiveUpdate(conn, peer.Name); err != nil {
+		if err := c.receiveUpdate(conn, peer); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/feed/transfer_test.go
@@ -0,0 +1,213 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangap/internal/catalog"
+	"toucangap/internal/follow"
+	"toucangap/platform"
+)
+
+const (
+	// configurationBytes is the size of a configuration of some 4,400 routes.
+	configurationBytes = 750_000
+	// smallLink is the link of a small host in bits a second.
+	smallLink = 10_000_000
+	// hostClients is how many hosts one host feeds at most while all are up: eight of its
+	// domain, and the first one of each of four others.
+	hostClients = 12
+	// changeBound is the time within which a change must be in force everywhere.
+	changeBound = 5 * time.Second
+	// feedBound is what the feeds may take of it: a third, since the store may take two;
+	// see follow.Timings.
+	feedBound = changeBound / 3
+	// feedDepth is the number of feeds between the store and the last of 1,000 hosts of a
+	// domain.
+	feedDepth = 4
+)
+
+// logSource is a source with all changes of a store that were added.
+type logSource struct {
+	mu       sync.Mutex
+	bootTime func() time.Duration
+	changes  []platform.Change
+	changed  chan struct{}
+}
+
+func newLogSource(bootTime func() time.Duration) *logSource {
+	return &logSource{bootTime: bootTime, changed: make(chan struct{})}
+}
+
+// add adds the next changes.
+func (s *logSource) add(changes ...platform.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range changes {
+		c.Revision, c.Incarnation = uint64(len(s.changes)+1), 1
+		s.changes = append(s.changes, c)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *logSource) Secret(context.Context) []byte { return []byte("secret") }
+
+func (s *logSource) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *logSource) Since(_ context.Context, client follow.Progress) (follow.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return follow.Batch{
+		Position: catalog.Position{Incarnation: 1, Revision: uint64(len(s.changes))},
+		Changes:  append([]platform.Change(nil), s.changes[client.Position.Revision:]...),
+		AsOf:     s.bootTime(),
+	}, nil
+}
+
+// receiver is a host that follows a server's feed and connects again whenever that
+// ends, as far as it has come.
+type receiver struct {
+	t        *testing.T
+	progress follow.Progress
+	// arrivals is when each key came, counted from the start; ended counts the feeds that
+	// ended.
+	arrivals map[string]time.Duration
+	ended    int
+}
+
+// follow follows the server over the link until the context ends.
+func (r *receiver) follow(ctx context.Context, server *Server, link *testLink) {
+	bootTime := clockAt(0)
+	timings := follow.NewTimings(changeBound)
+	for ctx.Err() == nil {
+		near, far := link.connect()
+		go server.serve(ctx, near)
+		client := Client{
+			Host: "client", Secret: []byte("secret"), Progress: r.progress, BootTime: bootTime,
+			PingInterval: timings.PingInterval, SilenceTimeout: timings.SilenceTimeout, MaxAge: timings.MaxAge,
+			OnConnected: func() {},
+			OnBatch:     func(b follow.Batch) { r.receive(bootTime(), b) },
+		}
+		err := client.run(ctx, far, "server")
+		if ctx.Err() == nil {
+			r.t.Logf("feed ended at %s: %v", bootTime(), err)
+			r.ended++
+		}
+	}
+}
+
+// receive records a batch and checks that it is complete up to its position.
+func (r *receiver) receive(now time.Duration, b follow.Batch) {
+	for _, c := range b.Changes {
+		if _, known := r.arrivals[c.Key]; !known {
+			r.arrivals[c.Key] = now
+		}
+	}
+	r.progress.Position = r.progress.Position.Max(b.Position)
+	for revision := range r.progress.Position.Revision {
+		require.Contains(r.t, r.arrivals, keyOf(revision+1), "complete up to %s", b.Position)
+	}
+}
+
+// requireArrived checks that the change that was added at the given time arrived within
+// the bound.
+func (r *receiver) requireArrived(revision uint64, added, bound time.Duration) {
+	require.Contains(r.t, r.arrivals, keyOf(revision))
+	require.Less(r.t, r.arrivals[keyOf(revision)]-added, bound, keyOf(revision))
+}
+
+func keyOf(revision uint64) string { return fmt.Sprintf("key-%d", revision) }
+
+// changeOf returns the change of the n-th key.
+func changeOf(revision uint64, value []byte) platform.Change {
+	return platform.Change{Item: platform.Item{Key: keyOf(revision), Value: value}}
+}
+
+// followAll lets hostClients hosts follow a server on a small link while play adds
+// changes, and returns them once a minute has passed.
+func followAll(t *testing.T, play func(*logSource)) (receivers []*receiver) {
+	source := newLogSource(clockAt(0))
+	source.add(changeOf(1, []byte("first")))
+	server := &Server{
+		Source: source, Logger: slog.New(slog.DiscardHandler),
+		SilenceTimeout: follow.NewTimings(changeBound).SilenceTimeout, BootTime: clockAt(0),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	link := newTestLink(smallLink)
+	for range hostClients {
+		r := &receiver{t: t, arrivals: make(map[string]time.Duration)}
+		receivers = append(receivers, r)
+		go r.follow(ctx, server, link)
+	}
+	play(source)
+	time.Sleep(time.Minute)
+	cancel()
+	// What is still on the link arrives or fails.
+	time.Sleep(time.Minute)
+	return receivers
+}
+
+// randomBytes returns bytes that can't be compressed.
+func randomBytes(n int) []byte {
+	b := make([]byte, n)
+	random := rand.NewChaCha8([32]byte{})
+	_, _ = random.Read(b)
+	return b
+}
+
+func TestSmallChangesDoNotWaitForALargeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const together, meanwhile = 10 * time.Second, 10500 * time.Millisecond
+		receivers := followAll(t, func(s *logSource) {
+			time.Sleep(together)
+			s.add(changeOf(2, []byte("drains")), changeOf(3, randomBytes(configurationBytes)))
+			time.Sleep(meanwhile - together)
+			s.add(changeOf(4, []byte("drains")))
+		})
+		for _, r := range receivers {
+			r.requireArrived(2, together, feedBound/feedDepth)
+			r.requireArrived(4, meanwhile, feedBound/feedDepth)
+			require.Contains(t, r.arrivals, keyOf(3))
+			require.Zero(t, r.ended, "feeds last")
+		}
+	})
+}
+
+// routesText returns a configuration's text of about configurationBytes.
+func routesText() []byte {
+	var b strings.Builder
+	random := rand.New(rand.NewPCG(1, 1))
+	for b.Len() < configurationBytes {
+		fmt.Fprintf(&b, `{"Name":"r-%07x","Address":"198.18.%d.%d","Port":%d,"Kind":"download","TimeoutMs":4000,`+
+			`"TargetLatencyMs":800,"Priority":2,"Service":"service-%d","MaxAttempts":2},`,
+			random.IntN(1<<28), random.IntN(256), random.IntN(256), random.IntN(1<<16), random.IntN(2))
+	}
+	return []byte(b.String())
+}
+
+func TestLargeConfigurationReachesAllHostsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const added = 10 * time.Second
+		receivers := followAll(t, func(s *logSource) {
+			time.Sleep(added)
+			s.add(changeOf(2, routesText()))
+		})
+		for _, r := range receivers {
+			r.requireArrived(2, added, feedBound)
+		}
+	})
+}
