feed: Send large updates in parts, and small changes ahead of them

Callers' requests still reached an endpoint 5.4 s after the store had accepted that it drains. A host sends what is new as one message; the drain left together with a configuration of 4,445 routes, and waited until 750 KB had reached each of the hosts that the sender feeds, over a link of 10 Mbit/s.

An update larger than 8 KB now goes in parts; changes with small values go ahead, and those that come meanwhile go between the parts, in partial updates that say nothing of how far the state is complete. Timeouts bound a part and not the update, so that a slow transfer goes on instead of beginning anew. What the kernel queues for a client is bounded, as a small change waits for that too. Hosts of the former build receive whole updates as before.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -80,6 +80,7 @@
 	UpdateIgnored
 	StateReceived
 	UpdateSlow
+	FeedBufferUnlimited
 )
 
 var followerArea = Area{
@@ -110,5 +111,6 @@
 		{UpdateIgnored, slog.LevelInfo, "update of another incarnation of the store ignored", "None; the source was behind a restore of the store, or ahead of this host."},
 		{StateReceived, slog.LevelInfo, "state received from a listing or a peer", "None; the dump has the single endpoints."},
 		{UpdateSlow, slog.LevelWarn, "update from another host took long to arrive", "Compare the update's size with the links of both hosts; changes that came with it are late by that time."},
+		{FeedBufferUnlimited, slog.LevelWarn, "send buffer of a feed could not be limited", "None on a fast link; on a slow one, changes may come late while a large configuration is sent."},
 	},
 }
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -44,6 +44,8 @@
 	// Exchange passes failure reports in both directions. It must be nil unless
 	// the peer is in the same failure domain and the secret is known.
 	Exchange Exchange
+
+	parts parts
 }
 
 // reportInterval is the time between two pings while there are failure reports
@@ -124,6 +126,7 @@
 	}
 	subscribe := &feedpb.Subscribe{
 		Revision: c.Progress.Position.Revision, Incarnation: c.Progress.Position.Incarnation, Version: c.Progress.Version,
+		AcceptsParts: true,
 	}
 	if len(c.Secret) > 0 {
 		if !hmac.Equal(challenge.Proof, computeProof(c.Secret, roleServer, nonce, challenge.Nonce)) {
@@ -137,28 +140,44 @@
 	return conn.send(c.ping(), handshakeTimeout)
 }
 
-// receiveUpdate receives and delivers one update. The error is ErrStale if the
-// update, which is delivered nevertheless, is too old, and ErrBehind if the peer has
-// missed a restore of the store.
+// receiveUpdate receives a message and delivers the update that it holds or completes.
+// The error is ErrStale if the update, which is delivered nevertheless, is too old, and
+// ErrBehind if the peer has missed a restore of the store.
 func (c *Client) receiveUpdate(conn *connection, peer string) error {
-	var update feedpb.News
-	took, err := conn.receiveTimed(&update, c.SilenceTimeout)
+	update := new(feedpb.News)
+	took, err := conn.receiveTimed(update, c.SilenceTimeout)
 	if err != nil {
 		return merry.Prepend(err, "read from the feed")
 	}
+	inParts := len(update.Part) > 0
+	if inParts {
+		update, took, err = c.parts.add(update, took)
+		if update == nil {
+			return err
+		}
+	}
 	if c.OnTransfer != nil {
-		c.OnTransfer(proto.Size(&update), took)
+		c.OnTransfer(proto.Size(update), took)
 	}
+	return c.deliver(update, inParts, peer)
+}
+
+// deliver passes on an update. Its errors are those of receiveUpdate.
+func (c *Client) deliver(update *feedpb.News, inParts bool, peer string) error {
 	if update.Incarnation < c.Progress.Position.Incarnation {
 		return ErrBehind
 	}
 	c.Progress.Position.Incarnation = update.Incarnation
-	asOf := currentAsOf(&update)
-	c.OnBatch(batchFrom(&update, asOf))
-	if c.Exchange != nil {
+	var asOf time.Duration
+	if !update.Partial {
+		asOf = currentAsOf(update)
+	}
+	c.OnBatch(batchFrom(update, asOf))
+	if c.Exchange != nil && !inParts {
 		c.Exchange.Receive(peer, decodeReports(update.Sightings))
 	}
-	if age := c.BootTime() - asOf; age > c.MaxAge {
+	// After an update in parts, which may have taken long, a current one follows at once.
+	if age := c.BootTime() - asOf; !update.Partial && !inParts && age > c.MaxAge {
 		return merry.Appendf(ErrStale, "%s old", age)
 	}
 	return nil
--- /dev/null
+++ b/internal/feed/parts.go
@@ -0,0 +1,41 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"toucangap/internal/feed/feedpb"
+)
+
+// errTooLarge means that the parts of an update exceed the size of a message.
+var errTooLarge = merry.Sentinel("update in parts is too large")
+
+// parts joins the parts of a large update.
+type parts struct {
+	encoded []byte
+	// begunAt is when the first part began to arrive.
+	begunAt time.Time
+}
+
+// add adds a part that took the given time to arrive. After the last one it returns the
+// update and the time from the first byte of it to the last, else nil.
+func (p *parts) add(part *feedpb.News, took time.Duration) (update *feedpb.News, total time.Duration, err error) {
+	if len(p.encoded) == 0 {
+		p.begunAt = time.Now().Add(-took)
+	}
+	if len(p.encoded)+len(part.Part) > maxMessageBytes {
+		return nil, 0, errTooLarge
+	}
+	p.encoded = append(p.encoded, part.Part...)
+	if !part.LastPart {
+		return nil, 0, nil
+	}
+	update = new(feedpb.News)
+	if err := proto.Unmarshal(p.encoded, update); err != nil {
+		return nil, 0, merry.Prepend(err, "decode an update in parts")
+	}
+	p.encoded = nil
+	return update, time.Since(p.begunAt), nil
+}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -81,6 +81,7 @@
 	defer raw.Close()
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	s.limitSendBuffer(raw)
 	conn := newConnection(raw)
 	c, err := s.handshake(ctx, conn)
 	if err != nil {
@@ -94,6 +95,17 @@
 	event.Log(s.Logger, event.FeedLost, slog.String("host", c.host), slog.String("error", errorText(err)))
 }
 
+// limitSendBuffer bounds what the kernel queues for a client, as far as that is possible.
+func (s *Server) limitSendBuffer(raw net.Conn) {
+	socket, ok := raw.(interface{ SetWriteBuffer(bytes int) error })
+	if !ok {
+		return
+	}
+	if err := socket.SetWriteBuffer(sendBufferBytes); err != nil {
+		event.Log(s.Logger, event.FeedBufferUnlimited, slog.String("error", err.Error()))
+	}
+}
+
 // ping is a client's ping.
 type ping struct {
 	// stampUs is the client's time of sending, in microseconds on its clock.
@@ -124,6 +136,8 @@
 	progress follow.Progress
 	// authenticated means that it has proved that it knows the secret.
 	authenticated bool
+	// acceptsParts means that it accepts partial updates, and large ones in parts.
+	acceptsParts bool
 	// exchanges means that failure reports are exchanged with the client: it is
 	// authenticated and in this host's domain.
 	exchanges bool
@@ -154,6 +168,7 @@
 			Version:  subscribe.Version,
 		},
 		authenticated: len(subscribe.Proof) > 0,
+		acceptsParts:  subscribe.AcceptsParts,
 	}
 	if c.authenticated && !hmac.Equal(subscribe.Proof, computeProof(secret, roleClient, nonce, hello.Nonce)) {
 		return c, ErrProof
@@ -162,8 +177,7 @@
 	return c, nil
 }
 
-// feed sends an update for each ping, at each change and, to hosts that exchange
-// failure reports, when reports were added.
+// feed sends updates to a client, and closes the connection at the end.
 func (s *Server) feed(ctx context.Context, conn *connection, c client, pings <-chan ping) error {
 	// Unblock readPings however the feed ends.
 	defer func() {
@@ -171,35 +185,8 @@
 		for range pings {
 		}
 	}()
-	last, ok := <-pings
-	var added <-chan struct{}
-	for ok {
-		if c.exchanges {
-			added = s.Exchange.ReportAdded(c.host)
-		}
-		changed := s.Source.Changed()
-		batch, err := s.Source.Since(ctx, c.progress)
-		if err != nil {
-			return err
-		}
-		if batch.Position.Incarnation < c.progress.Position.Incarnation {
-			return ErrBehind
-		}
-		if err := conn.send(s.newUpdate(&batch, last, c), writeTimeout); err != nil {
-			return err
-		}
-		c.progress.Position = c.progress.Position.Max(batch.Position)
-		c.progress.Version = max(c.progress.Version, batch.Version)
-		select {
-		case <-changed:
-		case <-added:
-			time.Sleep(batchDelay)
-		case last, ok = <-pings:
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-	}
-	return nil
+	updates := stream{server: s, conn: conn, client: c, sentAhead: make(map[string]catalog.Position)}
+	return updates.run(ctx, pings)
 }
 
 func (s *Server) newUpdate(b *follow.Batch, last ping, c client) *feedpb.News {
--- a/internal/feed/transfer_test.go
+++ b/internal/feed/transfer_test.go
@@ -87,6 +87,8 @@
 	// ended.
 	arrivals map[string]time.Duration
 	ended    int
+	// next passes batches on; it may be nil.
+	next *relayedReplica
 }
 
 // follow follows the server over the link until the context ends.
@@ -112,6 +114,9 @@
 
 // receive records a batch and checks that it is complete up to its position.
 func (r *receiver) receive(now time.Duration, b follow.Batch) {
+	if r.next != nil {
+		defer r.next.apply(b)
+	}
 	for _, c := range b.Changes {
 		if _, known := r.arrivals[c.Key]; !known {
 			r.arrivals[c.Key] = now
@@ -211,3 +216,70 @@
 		}
 	})
 }
+
+// relayedReplica is a host that follows one feed and serves another.
+type relayedReplica struct {
+	mu      sync.Mutex
+	replica *follow.Replica
+	changed chan struct{}
+}
+
+func (r *relayedReplica) Secret(context.Context) []byte { return []byte("secret") }
+
+func (r *relayedReplica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+func (r *relayedReplica) Since(_ context.Context, client follow.Progress) (follow.Batch, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replica.Since(0, client), nil
+}
+
+func (r *relayedReplica) apply(b follow.Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replica.Apply(0, b)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func TestRelayedUpdatesInPartsLoseNoChange(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			logger := slog.New(slog.DiscardHandler)
+			source := newLogSource(clockAt(0))
+			source.add(changeOf(1, []byte("first")))
+			relayed := &relayedReplica{replica: follow.NewReplica(logger, time.Minute, time.Hour), changed: make(chan struct{})}
+			first := &Server{Source: source, Logger: logger, SilenceTimeout: time.Minute, BootTime: clockAt(0)}
+			second := &Server{Source: relayed, Logger: logger, SilenceTimeout: time.Minute, BootTime: clockAt(0)}
+			ctx, cancel := context.WithCancel(t.Context())
+			middle := &receiver{t: t, arrivals: make(map[string]time.Duration), next: relayed}
+			last := &receiver{t: t, arrivals: make(map[string]time.Duration)}
+			go middle.follow(ctx, first, newTestLink(smallLink))
+			time.Sleep(time.Second)
+			go last.follow(ctx, second, newTestLink(smallLink/2))
+			count := uint64(1)
+			for range 40 {
+				time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+				var changes []platform.Change
+				for range 1 + random.IntN(3) {
+					count++
+					sizes := [...]int{0, 100, smallValueBytes, smallValueBytes + 1, partBytes, 100_000}
+					changes = append(changes, changeOf(count, randomBytes(sizes[random.IntN(len(sizes))])))
+				}
+				source.add(changes...)
+			}
+			time.Sleep(time.Minute)
+			cancel()
+			time.Sleep(time.Minute)
+			for revision := range count {
+				require.Contains(t, last.arrivals, keyOf(revision+1), "seed %d", seed)
+			}
+			require.Equal(t, count, last.progress.Position.Revision, "seed %d", seed)
+		})
+	}
+}
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -101,7 +101,8 @@
 		c.hostCount.Store(int64(c.replica.HostCount()))
 		asOf := c.replica.AsOf()
 		c.asOf.Store(int64(asOf))
-		if len(b.Changes) > 0 {
+		// An update that is a part of more says nothing of how current it is.
+		if len(b.Changes) > 0 && b.AsOf > 0 {
 			c.changeAges.Update((c.clock.BootTime() - b.AsOf).Milliseconds())
 		}
 		if changed {
--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// askSeed connects to a seed's feed, receives its first update and disconnects.
+// askSeed connects to a seed's feed, receives its state and disconnects.
 func (s *syncer) askSeed(ctx context.Context, address netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
 	defer cancel()
@@ -132,6 +132,11 @@
 			event.Log(s.logger, event.FeedConnected, slog.String("host", seed.Name), slog.Bool("seed", true))
 		},
 		OnBatch: func(b follow.Batch) {
+			if b.Position.IsZero() {
+				// Changes that go ahead of the state.
+				s.control.apply(ctx, b)
+				return
+			}
 			// Later updates come from the regular sources.
 			defer cancel()
 			if s.clock.BootTime()-b.AsOf > s.timings.MaxAge && s.storeAnswers() {
