follow: Keep a feed's state current between rare changes

An answer of the store with changes is current only as of the time of the call. After a change at the end of a watch of 2.08 s the next watch could last as long again, so that the state became 4.2 s old in calm operation, and all hosts left their feeds at 3.33 s as 'peer's state is too old'. In the incident's load they then read the same large configuration from the store at once.

The watch after a long one with changes is as much shorter. TestFeedsDoNotAgeBetweenRare Changes failed before (a watch of 1.25 s where 0.375 s is left).

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -51,6 +51,10 @@
 	// listedOnce is set once a complete listing has been read since the start.
 	listedOnce bool
 	backoff    Backoff
+	// changedLast is set if the last watch had changes; asOf is the time as of which its
+	// answer was current, on the boot-time clock.
+	changedLast bool
+	asOf        time.Duration
 	// lastResponse is when the store last responded, in nanoseconds of the
 	// boot-time clock.
 	lastResponse atomic.Int64
@@ -71,7 +75,18 @@
 // returns how long to wait before the next step; 0 once the context has ended. A
 // failure is logged and retried by the next step.
 func (f *Follower) Step(ctx context.Context) time.Duration {
-	return f.step(ctx, f.Timings.WatchWait)
+	return f.step(ctx, f.watchWait())
+}
+
+// watchWait returns for how long the next watch may wait. An answer with changes is
+// current only as of the time of the call, so the watch after a long one is shorter: it
+// must end before the state is older than normal, or peers would end their feeds.
+func (f *Follower) watchWait() time.Duration {
+	if !f.changedLast {
+		return f.Timings.WatchWait
+	}
+	left := f.asOf + f.Timings.NormalAge() - f.BootTime()
+	return min(max(left, minWait), f.Timings.WatchWait)
 }
 
 // Poll makes one call that does not wait for changes. It brings the state up to
@@ -269,6 +284,7 @@
 		asOf = min(started+wait, f.BootTime())
 	}
 	f.cursor = f.cursor.Max(changes.Position())
+	f.changedLast, f.asOf = len(changes.Changes) > 0, asOf
 	f.OnBatch(Batch{
 		Changes:     changes.Changes,
 		Position:    f.cursor,
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -266,3 +266,17 @@
 	require.True(t, batches[1].Complete)
 	require.Len(t, batches[1].Changes, 2)
 }
+
+func TestFeedsDoNotAgeBetweenRareChanges(t *testing.T) {
+	timings := NewTimings(3 * time.Second)
+	late := step{
+		want: watch0, takes: timings.WatchWait,
+		watch: platform.Changes{Revision: 6, Incarnation: 1, Changes: make([]platform.Change, 1)},
+	}
+	shorter := step{want: "watch since 6 for 375ms", takes: timings.MinInterval, watch: platform.Changes{Revision: 6, Incarnation: 1}}
+	batches, _, _ := runScript(t, listOf(5), late, shorter,
+		step{want: "watch since 6 for 1.25s", watch: platform.Changes{Revision: 6, Incarnation: 1}})
+	normalAge := timings.MinInterval + timings.WatchWait
+	require.LessOrEqual(t, batches[2].AsOf-batches[1].AsOf, normalAge)
+	require.Less(t, normalAge, timings.MaxAge)
+}
--- a/internal/follow/timings.go
+++ b/internal/follow/timings.go
@@ -11,8 +11,7 @@
 // worst case, a change is made just after a call, and the next watch, which starts
 // after MinInterval, gets no response: it times out
 // MinInterval+WatchWait+WatchSlack after the change, at two thirds of the bound.
-// Normally the state is at most MinInterval+WatchWait old, which is less than
-// MaxAge.
+// Normally the state is at most NormalAge old, which is less than MaxAge.
 type Timings struct {
 	// WatchWait is how long the store may hold a watch.
 	WatchWait time.Duration
@@ -45,6 +44,10 @@
 	}
 }
 
+// NormalAge is the age that the state of a host that follows the store reaches while the
+// store answers at once.
+func (t Timings) NormalAge() time.Duration { return t.MinInterval + t.WatchWait }
+
 // The bounds of the wait after a failed call. The maximum is well below the
 // time within which a machine must be current once it can be reached again.
 const (
