--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -126,7 +126,7 @@
 	}
 	subscribe := &feedpb.Subscribe{
 		Revision: c.Progress.Position.Revision, Incarnation: c.Progress.Position.Incarnation, Version: c.Progress.Version,
-		AcceptsParts: true,
+		AcceptsParts: true, AcceptsCompressed: true,
 	}
 	if len(c.Secret) > 0 {
 		if !hmac.Equal(challenge.Proof, computeProof(c.Secret, roleServer, nonce, challenge.Nonce)) {
@@ -172,7 +172,11 @@
 	if !update.Partial {
 		asOf = currentAsOf(update)
 	}
-	c.OnBatch(batchFrom(update, asOf))
+	batch, err := batchFrom(update, asOf)
+	if err != nil {
+		return err
+	}
+	c.OnBatch(batch)
 	if c.Exchange != nil && !inParts {
 		c.Exchange.Receive(peer, decodeReports(update.Sightings))
 	}
@@ -192,7 +196,8 @@
 	return time.Duration(update.StampUs+update.HeldUs-update.AgeUs) * time.Microsecond
 }
 
-func batchFrom(update *feedpb.News, asOf time.Duration) follow.Batch {
+// batchFrom decodes an update that is current as of the given time.
+func batchFrom(update *feedpb.News, asOf time.Duration) (follow.Batch, error) {
 	b := follow.Batch{
 		Complete:      update.Complete,
 		Position:      catalog.Position{Incarnation: update.Incarnation, Revision: update.Revision},
@@ -200,10 +205,17 @@
 		RecoveryGrace: time.Duration(update.UnsettledUs) * time.Microsecond,
 	}
 	for _, c := range update.Changes {
+		value := c.Value
+		if len(c.CompressedValue) > 0 {
+			var err error
+			if value, err = inflate(c.CompressedValue); err != nil {
+				return b, err
+			}
+		}
 		b.Changes = append(b.Changes, platform.Change{
-			Item:    platform.Item{Key: c.Key, Value: c.Value, Revision: c.Revision, Incarnation: c.Incarnation},
+			Item:    platform.Item{Key: c.Key, Value: value, Revision: c.Revision, Incarnation: c.Incarnation},
 			Removed: c.Removed,
 		})
 	}
-	return b
+	return b, nil
 }
--- a/internal/feed/parts.go
+++ b/internal/feed/parts.go
@@ -9,8 +9,9 @@
 	"toucangap/internal/feed/feedpb"
 )
 
-// errTooLarge means that the parts of an update exceed the size of a message.
-var errTooLarge = merry.Sentinel("update in parts is too large")
+// errTooLarge means that an update in parts or a compressed value exceeds the size of a
+// message.
+var errTooLarge = merry.Sentinel("update of the feed is too large")
 
 // parts joins the parts of a large update.
 type parts struct {
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -45,6 +45,8 @@
 	// BootTime reads the boot-time clock, which keeps running while the machine
 	// sleeps.
 	BootTime func() time.Duration
+
+	compressor compressor
 }
 
 // Serve accepts and serves clients until accepting fails. It returns nil if the
@@ -138,6 +140,8 @@
 	authenticated bool
 	// acceptsParts means that it accepts partial updates, and large ones in parts.
 	acceptsParts bool
+	// acceptsCompressed means that it accepts compressed values.
+	acceptsCompressed bool
 	// exchanges means that failure reports are exchanged with the client: it is
 	// authenticated and in this host's domain.
 	exchanges bool
@@ -167,8 +171,9 @@
 			Position: catalog.Position{Incarnation: subscribe.Incarnation, Revision: subscribe.Revision},
 			Version:  subscribe.Version,
 		},
-		authenticated: len(subscribe.Proof) > 0,
-		acceptsParts:  subscribe.AcceptsParts,
+		authenticated:     len(subscribe.Proof) > 0,
+		acceptsParts:      subscribe.AcceptsParts,
+		acceptsCompressed: subscribe.AcceptsCompressed,
 	}
 	if c.authenticated && !hmac.Equal(subscribe.Proof, computeProof(secret, roleClient, nonce, hello.Nonce)) {
 		return c, ErrProof
@@ -189,7 +194,9 @@
 	return updates.run(ctx, pings)
 }
 
-func (s *Server) newUpdate(b *follow.Batch, last ping, c client) *feedpb.News {
+// newUpdate returns an update for the client with the batch and, if they exchange them,
+// the failure reports.
+func (s *Server) newUpdate(b *follow.Batch, last ping, c client) (*feedpb.News, error) {
 	now := s.BootTime()
 	update := &feedpb.News{
 		Complete:    b.Complete,
@@ -208,15 +215,32 @@
 		if kind, _ := platform.Classify(change.Key); kind == platform.KindSecret && !c.authenticated {
 			continue
 		}
-		update.Changes = append(update.Changes, &feedpb.Change{
-			Key:         change.Key,
-			Value:       change.Value,
-			Revision:    change.Revision,
-			Incarnation: change.Incarnation,
-			Removed:     change.Removed,
-		})
-	}
-	return update
+		encoded, err := s.encodeChange(change, c)
+		if err != nil {
+			return nil, err
+		}
+		update.Changes = append(update.Changes, encoded)
+	}
+	return update, nil
+}
+
+// encodeChange encodes a change, with a large value compressed if the client accepts that.
+func (s *Server) encodeChange(change *platform.Change, c client) (*feedpb.Change, error) {
+	encoded := &feedpb.Change{
+		Key:         change.Key,
+		Value:       change.Value,
+		Revision:    change.Revision,
+		Incarnation: change.Incarnation,
+		Removed:     change.Removed,
+	}
+	if !c.acceptsCompressed || len(change.Value) < compressFrom {
+		return encoded, nil
+	}
+	compressed, err := s.compressor.compress(change)
+	if len(compressed) > 0 {
+		encoded.Value, encoded.CompressedValue = nil, compressed
+	}
+	return encoded, err
 }
 
 func errorText(err error) string {
--- a/internal/feed/stream.go
+++ b/internal/feed/stream.go
@@ -130,7 +130,10 @@
 		Position: progress.Position.Max(batch.Position),
 		Version:  max(progress.Version, batch.Version),
 	}
-	update := s.server.newUpdate(&batch, s.ping, s.client)
+	update, err := s.server.newUpdate(&batch, s.ping, s.client)
+	if err != nil {
+		return err
+	}
 	if !s.client.acceptsParts || proto.Size(update) <= partBytes {
 		s.recordSent(batch.Changes)
 		return s.finish(after, s.conn.send(update, writeTimeout))
@@ -139,14 +142,17 @@
 }
 
 // begin begins the transfer of a batch, which brings the client to the progress.
-func (s *stream) begin(batch *follow.Batch, progress follow.Progress) (err error) {
+func (s *stream) begin(batch *follow.Batch, progress follow.Progress) error {
 	s.transfer = &transfer{progress: progress}
 	large := *batch
 	if !batch.Complete {
 		s.queueAhead(batch)
 		large.Changes = slices.DeleteFunc(slices.Clone(batch.Changes), isSmall)
 	}
-	update := s.server.newUpdate(&large, s.ping, s.client)
+	update, err := s.server.newUpdate(&large, s.ping, s.client)
+	if err != nil {
+		return err
+	}
 	// By the end of the transfer the reports are outdated; they are in the partial updates.
 	update.Sightings = nil
 	s.transfer.rest, err = proto.Marshal(update)
@@ -180,11 +186,14 @@
 		size += len(t.ahead[fit].Value)
 		fit++
 	}
-	update := s.server.newUpdate(&follow.Batch{
+	update, err := s.server.newUpdate(&follow.Batch{
 		Position:      catalog.Position{Incarnation: t.progress.Position.Incarnation},
 		RecoveryGrace: t.recoveryGrace,
 		Changes:       t.ahead[:fit],
 	}, s.ping, s.client)
+	if err != nil {
+		return err
+	}
 	t.ahead = t.ahead[fit:]
 	update.Partial = true
 	if len(update.Changes) == 0 && len(update.Sightings) == 0 {
--- a/internal/feed/transfer_test.go
+++ b/internal/feed/transfer_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -283,3 +284,25 @@
 		})
 	}
 }
+
+func TestCompressedValuesKeepTheirBytes(t *testing.T) {
+	for name, value := range map[string][]byte{"routes": routesText(), "not compressible": randomBytes(configurationBytes), "small": []byte("v")} {
+		t.Run(name, func(t *testing.T) {
+			source := newSource(0)
+			source.batch.Changes = []platform.Change{changeOf(1, value)}
+			peer := serveOn(t, source, clockAt(0))
+			batch, _ := firstBatch(t, peer, Client{Secret: source.secret, MaxAge: time.Minute, BootTime: clockAt(0)})
+			require.Len(t, batch.Changes, 1)
+			require.True(t, bytes.Equal(value, batch.Changes[0].Value))
+		})
+	}
+}
+
+func TestOversizedValuesAreRefused(t *testing.T) {
+	compressed, err := deflate(make([]byte, maxMessageBytes+1))
+	require.NoError(t, err)
+	_, err = inflate(compressed)
+	require.ErrorIs(t, err, errTooLarge)
+	_, err = inflate(compressed[:len(compressed)/2])
+	require.Error(t, err, "a value that was cut off")
+}
