feed: End a feed before its state is too old, also in silence

A client left a feed when an update was older than two thirds of the bound, or when none came for a third of it. A peer whose own source had been lost for just under 3.33 s and that then fell silent was left after 5 s, when a drain had to be in force; only then did the client turn to the store.

The wait for a message now ends when the state does.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -46,6 +46,9 @@
 	Exchange Exchange
 
 	parts parts
+	// staleAt is when the state that has come will be too old, on the boot-time clock; 0
+	// until an update has come.
+	staleAt time.Duration
 }
 
 // reportInterval is the time between two pings while there are failure reports
@@ -145,8 +148,11 @@
 // ErrBehind if the peer has missed a restore of the store.
 func (c *Client) receiveUpdate(conn *connection, peer string) error {
 	update := new(feedpb.News)
-	took, err := conn.receiveTimed(update, c.SilenceTimeout)
+	took, err := conn.receiveTimed(update, c.receiveTimeout())
 	if err != nil {
+		if c.staleAt > 0 && c.BootTime() >= c.staleAt {
+			err = merry.Wrap(ErrStale, merry.AppendMessage(err.Error()))
+		}
 		return merry.Prepend(err, "read from the feed")
 	}
 	inParts := len(update.Part) > 0
@@ -162,6 +168,15 @@
 	return c.deliver(update, inParts, peer)
 }
 
+// receiveTimeout returns how long to wait for the next message. A feed that falls silent
+// must end before its state is too old, as another source takes time to reach.
+func (c *Client) receiveTimeout() time.Duration {
+	if c.staleAt == 0 || c.parts.begun() {
+		return c.SilenceTimeout
+	}
+	return min(c.SilenceTimeout, c.staleAt-c.BootTime())
+}
+
 // deliver passes on an update. Its errors are those of receiveUpdate.
 func (c *Client) deliver(update *feedpb.News, inParts bool, peer string) error {
 	if update.Incarnation < c.Progress.Position.Incarnation {
@@ -180,9 +195,17 @@
 	if c.Exchange != nil && !inParts {
 		c.Exchange.Receive(peer, decodeReports(update.Sightings))
 	}
-	// After an update in parts, which may have taken long, a current one follows at once.
-	if age := c.BootTime() - asOf; !update.Partial && !inParts && age > c.MaxAge {
-		return merry.Appendf(ErrStale, "%s old", age)
+	if update.Partial {
+		return nil
+	}
+	now := c.BootTime()
+	c.staleAt = max(c.staleAt, asOf+c.MaxAge)
+	if inParts {
+		// It may have taken long; a current one follows at once.
+		c.staleAt = max(c.staleAt, now+c.SilenceTimeout)
+	}
+	if now > c.staleAt {
+		return merry.Appendf(ErrStale, "%s old", now-asOf)
 	}
 	return nil
 }
--- a/internal/feed/parts.go
+++ b/internal/feed/parts.go
@@ -20,10 +20,13 @@
 	begunAt time.Time
 }
 
+// begun reports whether parts of an update are missing.
+func (p *parts) begun() bool { return len(p.encoded) > 0 }
+
 // add adds a part that took the given time to arrive. After the last one it returns the
 // update and the time from the first byte of it to the last, else nil.
 func (p *parts) add(part *feedpb.News, took time.Duration) (update *feedpb.News, total time.Duration, err error) {
-	if len(p.encoded) == 0 {
+	if !p.begun() {
 		p.begunAt = time.Now().Add(-took)
 	}
 	if len(p.encoded)+len(part.Part) > maxMessageBytes {
--- a/internal/feed/transfer_test.go
+++ b/internal/feed/transfer_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"toucangap/internal/catalog"
+	"toucangap/internal/feed/feedpb"
 	"toucangap/internal/follow"
 	"toucangap/platform"
 )
@@ -306,3 +309,32 @@
 	_, err = inflate(compressed[:len(compressed)/2])
 	require.Error(t, err, "a value that was cut off")
 }
+
+func TestFeedThatFallsSilentEndsBeforeItsStateIsTooOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timings := follow.NewTimings(changeBound)
+		near, far := net.Pipe()
+		defer far.Close()
+		go func() {
+			server := newConnection(far)
+			_ = server.receive(&feedpb.Hello{}, time.Minute)
+			_ = server.send(&feedpb.Challenge{Nonce: newNonce()}, time.Minute)
+			_ = server.receive(&feedpb.Subscribe{}, time.Minute)
+			var p feedpb.Ping
+			_ = server.receive(&p, time.Minute)
+			// The state is about as old as one may be, and nothing follows.
+			age := timings.MaxAge - 10*time.Millisecond
+			_ = server.send(&feedpb.News{StampUs: p.StampUs, AgeUs: age.Microseconds()}, time.Minute)
+			_, _ = io.Copy(io.Discard, far)
+		}()
+		client := Client{
+			Host: "client", BootTime: clockAt(time.Minute), OnConnected: func() {}, OnBatch: func(follow.Batch) {},
+			PingInterval: timings.PingInterval, SilenceTimeout: timings.SilenceTimeout, MaxAge: timings.MaxAge,
+		}
+		begun := time.Now()
+		require.ErrorIs(t, client.run(t.Context(), near, "server"), ErrStale)
+		require.Less(t, time.Since(begun), 20*time.Millisecond)
+		// sendPings notices the end.
+		time.Sleep(timings.SilenceTimeout)
+	})
+}
