follow: Do not take a listing for complete whose page failed after a catch-up

While the first listing of a host takes long, it asks for what has changed since the first page. The answer moved the cursor, so that after a failed page the next step was a watch: the rest of the listing was never read, and the host took its state for complete, without the endpoints of the missing pages, and fed it to others as complete. Hosts of large deployments, whose listings have several pages, start this way beside a busy store.

The cursor now moves when the listing is complete. TestListingThatFailsAfterCatchingUpIs ReadToItsEnd failed before (a watch in place of the missing page).

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -146,6 +146,8 @@
 	startedAt time.Duration
 	// after is the last key that was read.
 	after string
+	// caughtUp is the position up to which the batch holds later changes.
+	caughtUp catalog.Position
 }
 
 // listingLifetime is how long a listing may be resumed after a page has failed.
@@ -186,11 +188,11 @@
 		}
 		if !page.More {
 			f.partial, f.listedOnce = nil, true
-			f.cursor = l.batch.Position
 			l.batch.Reconnected = f.reconnected()
-			if err := f.catchUp(ctx, &l.batch); err != nil {
+			if err := f.catchUp(ctx, l); err != nil {
 				return err
 			}
+			f.cursor = l.batch.Position.Max(l.caughtUp)
 			event.Log(f.Logger, event.StoreListed, slog.Int("keys", len(l.batch.Changes)), logPosition(l.batch.Position))
 			f.OnBatch(l.batch)
 			return nil
@@ -213,7 +215,7 @@
 		part.Changes = slices.Clone(l.batch.Changes)
 	} else {
 		asOf := l.batch.AsOf
-		if err := f.catchUp(ctx, &l.batch); err != nil || l.batch.AsOf == asOf {
+		if err := f.catchUp(ctx, l); err != nil || l.batch.AsOf == asOf {
 			return err
 		}
 		part.Changes = slices.Clone(l.batch.Later)
@@ -243,8 +245,8 @@
 // catchUp adds to a slow listing what has changed since its first page, so that
 // a host does not start with an old configuration. The error is errRestored if the
 // store was restored meanwhile.
-func (f *Follower) catchUp(ctx context.Context, b *Batch) error {
-	started := f.BootTime()
+func (f *Follower) catchUp(ctx context.Context, l *listing) error {
+	b, started := &l.batch, f.BootTime()
 	if started-b.AsOf <= f.Timings.MinInterval {
 		return nil
 	}
@@ -259,8 +261,7 @@
 		event.Log(f.Logger, event.ListingStale, slog.Duration("age", f.BootTime()-b.AsOf), slog.String("error", err.Error()))
 		return nil
 	}
-	b.Later, b.AsOf = changes.Changes, started
-	f.cursor = f.cursor.Max(changes.Position())
+	b.Later, b.AsOf, l.caughtUp = changes.Changes, started, changes.Position()
 	return nil
 }
 
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -280,3 +280,18 @@
 	require.LessOrEqual(t, batches[2].AsOf-batches[1].AsOf, normalAge)
 	require.Less(t, normalAge, timings.MaxAge)
 }
+
+func TestListingThatFailsAfterCatchingUpIsReadToItsEnd(t *testing.T) {
+	first := listOf(5, "a")
+	first.page.More = true
+	second := step{
+		want: `list "" after "a"`, takes: time.Second,
+		page: platform.Page{Revision: 9, Incarnation: 1, More: true, Items: []platform.Item{{Key: "b", Revision: 4}}},
+	}
+	meanwhile := step{want: "watch since 5 for 1ms", watch: platform.Changes{Revision: 8, Incarnation: 1}}
+	failed := step{want: `list "" after "b"`, err: platform.ErrBusy}
+	last := step{want: `list "" after "b"`, page: platform.Page{Revision: 9, Incarnation: 1, Items: []platform.Item{{Key: "c", Revision: 4}}}}
+	batches, _, _ := runScript(t, first, second, meanwhile, failed, last)
+	require.True(t, batches[len(batches)-1].Complete)
+	require.Len(t, batches[len(batches)-1].Changes, 3)
+}
