follow, platform: Let an answer of the store take as long as it keeps arriving

A watch had 0.625 s beyond its wait, and a page of a later listing 1.67 s, whatever the size of the answer. A host that had lost its feed then asked for what it had missed, a configuration of 1 MB among it, over a link of 10 Mbit/s: the answer was cut off and asked for again.

The timeouts now bound the time without any byte.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -18,7 +18,7 @@
 // Store is the part of the platform's store client that a Follower uses.
 type Store interface {
 	List(ctx context.Context, prefix, after string, stall time.Duration) (platform.Page, error)
-	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (platform.Changes, error)
+	Watch(ctx context.Context, prefix string, since uint64, wait, stall time.Duration) (platform.Changes, error)
 	// Incarnation returns the latest incarnation that a response has stated.
 	Incarnation() uint64
 }
@@ -150,9 +150,15 @@
 	caughtUp catalog.Position
 }
 
-// listingLifetime is how long a listing may be resumed after a page has failed.
-// The store's history must still hold what has changed since its first page.
-const listingLifetime = 10 * time.Second
+const (
+	// listingLifetime is how long a listing may be resumed after a page has failed.
+	// The store's history must still hold what has changed since its first page.
+	listingLifetime = 10 * time.Second
+	// maxTransfer is how long an answer of the store may take while it keeps arriving: a
+	// configuration of 1 MB takes a second on a link of 10 Mbit/s that carries nothing
+	// else.
+	maxTransfer = 10 * time.Second
+)
 
 // list reads all keys. The pages together are not a snapshot: the batch is
 // complete up to the first page's revision, at which the watch continues. When
@@ -228,16 +234,10 @@
 // it never did. Unlike the other methods it may be called from any goroutine.
 func (f *Follower) LastResponse() time.Duration { return time.Duration(f.lastResponse.Load()) }
 
-// page reads one page. Until the first listing is complete it waits for as long
-// as the page keeps arriving, up to listingLifetime: when many hosts start at once
-// the store's link is full, and repeating the request would fill it with the same
-// pages.
+// page reads one page, for as long as it keeps arriving: when many hosts start at once
+// the store's link is full, and repeating the request would fill it with the same pages.
 func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
-	limit := f.Timings.CallTimeout
-	if !f.listedOnce {
-		limit = listingLifetime
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, maxTransfer)
 	defer cancel()
 	return f.Store.List(ctx, platform.AllKeys, after, f.Timings.CallTimeout)
 }
@@ -250,9 +250,9 @@
 	if started-b.AsOf <= f.Timings.MinInterval {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Timings.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxTransfer)
 	defer cancel()
-	changes, err := f.Store.Watch(ctx, platform.AllKeys, b.Position.Revision, minWait)
+	changes, err := f.Store.Watch(ctx, platform.AllKeys, b.Position.Revision, minWait, f.Timings.CallTimeout)
 	if f.Store.Incarnation() > b.Position.Incarnation {
 		return errRestored
 	}
@@ -265,13 +265,13 @@
 	return nil
 }
 
-// watch waits for changes. An answer without changes is current as of the end
+// watch waits for changes, and for as long as they keep arriving. An answer without changes is current as of the end
 // of the store's wait, one with changes only as of the time of the call.
 func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+f.Timings.WatchSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+maxTransfer)
 	defer cancel()
 	started := f.BootTime()
-	changes, err := f.Store.Watch(ctx, platform.AllKeys, f.cursor.Revision, wait)
+	changes, err := f.Store.Watch(ctx, platform.AllKeys, f.cursor.Revision, wait, f.Timings.WatchSlack)
 	if err != nil {
 		return err
 	}
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -48,7 +49,7 @@
 	return n.page, n.err
 }
 
-func (s *fakeStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (platform.Changes, error) {
+func (s *fakeStore) Watch(_ context.Context, _ string, since uint64, wait, _ time.Duration) (platform.Changes, error) {
 	n := s.next(fmt.Sprintf("watch since %d for %s", since, wait))
 	return n.watch, n.err
 }
@@ -295,3 +296,44 @@
 	require.True(t, batches[len(batches)-1].Complete)
 	require.Len(t, batches[len(batches)-1].Changes, 3)
 }
+
+// slowLinkStore answers each watch with one change, which takes the given time to arrive.
+type slowLinkStore struct {
+	takes time.Duration
+}
+
+func (s slowLinkStore) List(context.Context, string, string, time.Duration) (platform.Page, error) {
+	return listOf(5, "a").page, nil
+}
+
+func (s slowLinkStore) Watch(ctx context.Context, _ string, since uint64, _, _ time.Duration) (platform.Changes, error) {
+	select {
+	case <-time.After(s.takes):
+		change := platform.Change{Item: platform.Item{Key: "large", Revision: since + 1, Incarnation: 1}}
+		return platform.Changes{Changes: []platform.Change{change}, Revision: since + 1, Incarnation: 1}, nil
+	case <-ctx.Done():
+		return platform.Changes{}, ctx.Err()
+	}
+}
+
+func (s slowLinkStore) Incarnation() uint64 { return 1 }
+
+func TestLargeChangeIsReadOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var batches []Batch
+		begun := time.Now()
+		f := &Follower{
+			// A configuration of 1 MB over a link of 10 Mbit/s that is shared with packets.
+			Store:    slowLinkStore{takes: 1600 * time.Millisecond},
+			Timings:  NewTimings(5 * time.Second),
+			Logger:   slog.New(slog.DiscardHandler),
+			BootTime: func() time.Duration { return time.Since(begun) },
+			OnBatch:  func(b Batch) { batches = append(batches, b) },
+		}
+		require.Zero(t, f.Step(t.Context())-f.Timings.MinInterval)
+		f.Poll(t.Context())
+		require.False(t, f.Lost())
+		require.Len(t, batches, 2)
+		require.Equal(t, "large", batches[1].Changes[0].Key)
+	})
+}
--- a/internal/follow/timings.go
+++ b/internal/follow/timings.go
@@ -15,7 +15,8 @@
 type Timings struct {
 	// WatchWait is how long the store may hold a watch.
 	WatchWait time.Duration
-	// WatchSlack is how much longer than WatchWait the response may take.
+	// WatchSlack is how much longer than WatchWait the response may take to begin, and
+	// the longest time without more of it.
 	WatchSlack time.Duration
 	// MinInterval is the minimum time between the starts of two successful
 	// calls, which limits the call rate when changes are frequent.
