relayd: Let a seed's state arrive over a slow link, one transfer at a time

A host that starts while the store does not answer asks seeds for their state. Each request had a second in all, and the next one began after 0.3 s: over a link that many starting hosts share, no state arrived, and the requests filled the link with beginnings of the same state.

A request now ends after a second without a message, and no other begins while one is connected. Partial updates are marked in follow.Batch, so that they do not end it. TestStateOfASeedArrivesOverASlowLink failed before (no state within 12 s).

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -223,6 +223,7 @@
 func batchFrom(update *feedpb.News, asOf time.Duration) (follow.Batch, error) {
 	b := follow.Batch{
 		Complete:      update.Complete,
+		Partial:       update.Partial,
 		Position:      catalog.Position{Incarnation: update.Incarnation, Revision: update.Revision},
 		AsOf:          asOf,
 		RecoveryGrace: time.Duration(update.UnsettledUs) * time.Microsecond,
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -210,13 +210,12 @@
 
 // deliverPart passes on the first of several pages at a start: it holds the
 // configuration and some endpoints, by which the host can serve while it reads the
-// rest. While that takes long, it passes on what has changed since. These batches say
-// nothing of how far they are complete.
+// rest. While that takes long, it passes on what has changed since.
 func (f *Follower) deliverPart(ctx context.Context, l *listing, page platform.Page) error {
 	if f.listedOnce || !page.More {
 		return nil
 	}
-	part := Batch{Position: catalog.Position{Incarnation: page.Incarnation}}
+	part := Batch{Partial: true, Position: catalog.Position{Incarnation: page.Incarnation}}
 	if len(l.batch.Changes) == len(page.Items) {
 		part.Changes = slices.Clone(l.batch.Changes)
 	} else {
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -23,7 +23,10 @@
 type Batch struct {
 	// Complete means that keys that are not among the changes don't exist.
 	Complete bool
-	Changes  []platform.Change
+	// Partial means that the batch goes ahead of a complete one or of a large change: it
+	// says nothing of how far the state is complete or current.
+	Partial bool
+	Changes []platform.Change
 	// Later holds the changes after Position that were made while a slow listing
 	// was read.
 	Later []platform.Change
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -101,8 +101,7 @@
 		c.hostCount.Store(int64(c.replica.HostCount()))
 		asOf := c.replica.AsOf()
 		c.asOf.Store(int64(asOf))
-		// An update that is a part of more says nothing of how current it is.
-		if len(b.Changes) > 0 && b.AsOf > 0 {
+		if len(b.Changes) > 0 && !b.Partial {
 			c.changeAges.Update((c.clock.BootTime() - b.AsOf).Milliseconds())
 		}
 		if changed {
--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -35,6 +36,8 @@
 	// transfers samples how long updates of other hosts take to arrive, in
 	// milliseconds.
 	transfers metrics.Histogram
+	// receiving is the number of seeds that are connected and send their state.
+	receiving atomic.Int64
 	// retryAt is when a host may be tried again, on the monotonic clock.
 	retryAt map[string]time.Duration
 }
@@ -64,20 +67,22 @@
 	// partialSeedDelay is the same for a host that serves by a part of the listing: at
 	// the start of hundreds of hosts pages take long, and seeds are few.
 	partialSeedDelay = 2 * time.Second
-	// seedTimeout bounds connecting to a seed and receiving its first update.
-	// seedInterval is the time between the starts of two requests to seeds.
-	seedTimeout  = time.Second
+	// seedTimeout is the longest time without a message from a seed, seedLimit bounds
+	// receiving its state, which takes seconds over a link that many hosts share.
+	seedTimeout = time.Second
+	seedLimit   = 10 * time.Second
+	// seedInterval is how long a seed may take to answer before the next one is asked.
 	seedInterval = 300 * time.Millisecond
 )
 
 // bootstrap asks seeds for their state until some state is known: a host that
 // starts in a network partition serves with the state of its neighbors. Seeds
-// are asked one after the other and only while the store does not answer: a
-// complete state is large, and many hosts may start at once.
+// are asked one after the other and only while the store does not answer and no other
+// seed sends its state: a complete state is large, and many hosts may start at once.
 func (s *syncer) bootstrap(ctx context.Context) {
 	order := rand.Perm(len(s.seeds))
 	for i := 0; ctx.Err() == nil && len(order) > 0 && s.control.progress(ctx).Position.IsZero(); {
-		if s.clock.BootTime()-s.follower.LastResponse() < s.seedDelay() {
+		if s.receiving.Load() > 0 || s.clock.BootTime()-s.follower.LastResponse() < s.seedDelay() {
 			sleep(ctx, seedPollInterval)
 			continue
 		}
@@ -118,22 +123,29 @@
 
 // askSeed connects to a seed's feed, receives its state and disconnects.
 func (s *syncer) askSeed(ctx context.Context, address netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	ctx, cancel := context.WithTimeout(ctx, seedLimit)
 	defer cancel()
+	connected := false
+	defer func() {
+		if connected {
+			s.receiving.Add(-1)
+		}
+	}()
 	seed := follow.Host{Name: address.String(), Feed: address}
 	client := feed.Client{
 		Host:           s.host.Name,
 		Progress:       s.control.progress(ctx),
 		PingInterval:   s.timings.PingInterval,
-		SilenceTimeout: s.timings.SilenceTimeout,
+		SilenceTimeout: seedTimeout,
 		MaxAge:         s.timings.MaxAge,
 		BootTime:       s.clock.BootTime,
 		OnConnected: func() {
+			connected = true
+			s.receiving.Add(1)
 			event.Log(s.logger, event.FeedConnected, slog.String("host", seed.Name), slog.Bool("seed", true))
 		},
 		OnBatch: func(b follow.Batch) {
-			if b.Position.IsZero() {
-				// Changes that go ahead of the state.
+			if b.Partial {
 				s.control.apply(ctx, b)
 				return
 			}
