relayd: Do not take a partial update for a current one

A host that follows another one's feed as a fallback counts it as useful once it has sent a current update. A partial update, which states no age, counted as current in the first 3.33 s of a process. Seen when reading the change; no run showed it.

--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -226,7 +226,7 @@
 		},
 		OnTransfer: func(bytes int, took time.Duration) { s.recordTransfer(peer.Name, bytes, took) },
 		OnBatch: func(b follow.Batch) {
-			useful = useful || s.clock.BootTime()-b.AsOf <= s.timings.MaxAge
+			useful = useful || !b.Partial && s.clock.BootTime()-b.AsOf <= s.timings.MaxAge
 			s.store.Observe(b.Position.Incarnation)
 			s.control.apply(ctx, b)
 			s.follower.Resume(b.Position)
