--- a/internal/feed/stream.go
+++ b/internal/feed/stream.go
@@ -136,7 +136,11 @@
 	}
 	if !s.client.acceptsParts || proto.Size(update) <= partBytes {
 		s.recordSent(batch.Changes)
-		return s.finish(after, s.conn.send(update, writeTimeout))
+		if err := s.conn.send(update, writeTimeout); err != nil {
+			return err
+		}
+		s.advance(after)
+		return nil
 	}
 	return s.begin(&batch, after)
 }
@@ -212,26 +216,25 @@
 	size := min(len(t.rest), partBytes)
 	part := &feedpb.News{Part: t.rest[:size], LastPart: size == len(t.rest)}
 	t.rest = t.rest[size:]
-	err = s.conn.send(part, writeTimeout)
-	if len(t.rest) > 0 || err != nil {
+	if err := s.conn.send(part, writeTimeout); err != nil {
 		return false, err
 	}
+	if len(t.rest) > 0 {
+		return false, nil
+	}
 	s.transfer = nil
-	return true, s.finish(t.progress, nil)
+	s.advance(t.progress)
+	return true, nil
 }
 
-// finish records that the client has the progress, unless err says that it was not sent.
-func (s *stream) finish(progress follow.Progress, err error) error {
-	if err != nil {
-		return err
-	}
+// advance records that the client has the progress.
+func (s *stream) advance(progress follow.Progress) {
 	s.client.progress = progress
 	for key, position := range s.sentAhead {
 		if !position.After(progress.Position) {
 			delete(s.sentAhead, key)
 		}
 	}
-	return nil
 }
 
 // recordSent records changes that the client has before the update that is complete up to
--- a/internal/feed/transfer_test.go
+++ b/internal/feed/transfer_test.go
@@ -203,8 +203,8 @@
 	var b strings.Builder
 	random := rand.New(rand.NewPCG(1, 1))
 	for b.Len() < configurationBytes {
-		fmt.Fprintf(&b, `{"Name":"r-%07x","Address":"198.18.%d.%d","Port":%d,"Kind":"download","TimeoutMs":4000,`+
-			`"TargetLatencyMs":800,"Priority":2,"Service":"service-%d","MaxAttempts":2},`,
+		fmt.Fprintf(&b, `{"name":"route-%07x","address":"198.18.%d.%d","port":%d,"idempotent":true,"timeout_ms":4000,`+
+			`"target_latency_ms":800,"priority":2,"service":"service-%d"},`,
 			random.IntN(1<<28), random.IntN(256), random.IntN(256), random.IntN(1<<16), random.IntN(2))
 	}
 	return []byte(b.String())
