--- a/internal/feed/stream.go
+++ b/internal/feed/stream.go
@@ -80,6 +80,10 @@
 // connected. Meanwhile it sends the transfer, at whose end an update is due as well.
 func (s *stream) await(ctx context.Context, pings <-chan ping, changed, added <-chan struct{}) (connected bool, err error) {
 	for s.transfer != nil {
+		// At least one part, so that the transfer goes on however often updates are due.
+		if ended, err := s.sendNext(); ended || err != nil {
+			return true, err
+		}
 		select {
 		case <-changed:
 			return true, nil
@@ -91,9 +95,6 @@
 			return false, context.Cause(ctx)
 		default:
 		}
-		if ended, err := s.sendNext(); ended || err != nil {
-			return true, err
-		}
 	}
 	select {
 	case <-changed:
