catalog, follow, relay: Evacuate failure domains at operators' request

Change: a key's existence takes the domain's endpoints out of every choice; copies of SYNs and failovers obey as well, open flows stay. A removal ends it, in a recovery grace period at its end, since a restored store may lack the request. Endpoints then count as cold for as long as after a start.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -28,8 +28,11 @@
 	Version uint64 `json:"bundle_version"`
 	Digest  string `json:"bundle_digest"`
 	// Platform is "reachable", "unreachable" or "unused".
-	Platform string       `json:"platform"`
-	Hosts    []HostStatus `json:"hosts"`
+	Platform string `json:"platform"`
+	// Evacuated are the failure domains whose endpoints take no new flows at operators'
+	// request.
+	Evacuated []string     `json:"evacuated_domains,omitempty"`
+	Hosts     []HostStatus `json:"hosts"`
 }
 
 // HostStatus is one host as seen by the host that responds.
@@ -74,7 +77,7 @@
 	Name   string `json:"name"`
 	Domain string `json:"domain"`
 	// State is "active", "draining" or "gone"; a host that forwards by tokens
-	// reports "open", "removed", "draining", "suspect" or "slow".
+	// reports "open", "removed", "draining", "evacuated", "suspect", "cold" or "slow".
 	State string `json:"state"`
 	// Flows and Requests count those open at this host; PeersFlows and
 	// PeersRequests are the sums of the peers' last reports.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -153,6 +153,15 @@
 	return false
 }
 
+// ColdStart describes how a service's endpoints start.
+type ColdStart struct {
+	// For is how long an endpoint is cold after its start.
+	For time.Duration
+	// PerSecond is the number of requests a second that a cold endpoint bears, or 0 if
+	// the number is not limited.
+	PerSecond float64
+}
+
 // Configuration is a version of the operators' configuration.
 type Configuration struct {
 	Version uint64
@@ -160,6 +169,8 @@
 	// Services maps each service to the number of flows that one of its
 	// endpoints may hold.
 	Services map[string]int
+	// ColdStarts holds the services whose endpoints are cold after their start.
+	ColdStarts map[string]ColdStart
 	// IdleTimeout is how long a flow must be idle before it may be removed, or 0 if
 	// the configuration sets none.
 	IdleTimeout time.Duration
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -29,6 +30,7 @@
 	routes    map[Address]*Route
 	byToken   map[Token]*Entry
 	available map[string][]*Entry
+	evacuated map[string]bool
 }
 
 // Route returns the route to an address, or nil.
@@ -39,7 +41,7 @@
 func (v *View) ByToken(t Token) *Entry { return v.byToken[t] }
 
 // Available returns the endpoints of a service that take new flows, sorted by
-// id.
+// id. Endpoints of evacuated domains are not among them.
 func (v *View) Available(service string) []*Entry { return v.available[service] }
 
 // Entries returns all endpoints, including removed ones, sorted by id.
@@ -52,6 +54,13 @@
 	return all
 }
 
+// Evacuated reports whether operators have evacuated the failure domain: its endpoints
+// take no new flows.
+func (v *View) Evacuated(domain string) bool { return v.evacuated[domain] }
+
+// EvacuatedDomains returns the evacuated failure domains, sorted.
+func (v *View) EvacuatedDomains() []string { return slices.Sorted(maps.Keys(v.evacuated)) }
+
 // Serves reports whether at least one route has an endpoint that takes new flows.
 func (v *View) Serves() bool {
 	if v.Configuration == nil {
@@ -85,6 +94,9 @@
 	// entries holds the endpoints by id.
 	entries          map[string]*directoryEntry
 	recoveryGraceEnd time.Duration
+	// evacuations holds the evacuations by failure domain, and ended ones as long as
+	// an older change could begin them again.
+	evacuations map[string]*evacuation
 }
 
 type directoryEntry struct {
@@ -113,6 +125,7 @@
 		recoveryGrace:    recoveryGrace,
 		removedRetention: removedRetention,
 		entries:          make(map[string]*directoryEntry),
+		evacuations:      make(map[string]*evacuation),
 	}
 }
 
@@ -253,7 +266,8 @@
 		}
 		next = earliest(next, due)
 	}
-	return next, changed
+	nextEnd, ended := d.endEvacuations(now)
+	return earliestSet(next, nextEnd), changed || ended
 }
 
 // earliest returns the earlier of two times of which 0 means none.
@@ -264,6 +278,14 @@
 	return min(a, b)
 }
 
+// earliestSet returns the earlier of two times of which either may be 0, for none.
+func earliestSet(a, b time.Duration) time.Duration {
+	if b == 0 {
+		return a
+	}
+	return earliest(a, b)
+}
+
 // View returns the current state as an immutable view.
 func (d *Directory) View(now time.Duration) *View {
 	v := &View{
@@ -272,6 +294,12 @@
 		routes:        make(map[Address]*Route),
 		byToken:       make(map[Token]*Entry, len(d.entries)),
 		available:     make(map[string][]*Entry),
+		evacuated:     make(map[string]bool),
+	}
+	for domain, e := range d.evacuations {
+		if e.inForce {
+			v.evacuated[domain] = true
+		}
 	}
 	if d.configuration != nil {
 		routes := d.configuration.Routes
@@ -304,7 +332,7 @@
 	}
 	entry := &e
 	v.byToken[token] = entry
-	if e.Listed && !e.Draining && v.serviceKnown(e.Service) {
+	if e.Listed && !e.Draining && !v.evacuated[e.Domain] && v.serviceKnown(e.Service) {
 		v.available[e.Service] = append(v.available[e.Service], entry)
 	}
 }
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -81,6 +81,8 @@
 	StateReceived
 	UpdateSlow
 	FeedBufferUnlimited
+	DomainEvacuated
+	EvacuationRemoved
 )
 
 var followerArea = Area{
@@ -112,5 +114,7 @@
 		{StateReceived, slog.LevelInfo, "state received from a listing or a peer", "None; the dump has the single endpoints."},
 		{UpdateSlow, slog.LevelWarn, "update from another host took long to arrive", "Compare the update's size with the links of both hosts; changes that came with it are late by that time."},
 		{FeedBufferUnlimited, slog.LevelWarn, "send buffer of a feed could not be limited", "None on a fast link; on a slow one, changes may come late while a large configuration is sent."},
+		{DomainEvacuated, slog.LevelInfo, "failure domain evacuated; its endpoints get no new flows", "None; open flows end by themselves."},
+		{EvacuationRemoved, slog.LevelInfo, "evacuation of a failure domain removed", "None; with held_for above 0 it stays in force for that long, since the store may have lost it."},
 	},
 }
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -195,6 +195,8 @@
 		return r.applyConfiguration(c)
 	case platform.KindEndpoint:
 		return r.applyEndpoint(now, name, c)
+	case platform.KindEvacuation:
+		return r.applyEvacuation(now, name, c)
 	case platform.KindHost:
 		r.applyHost(now, name, c)
 	case platform.KindSecret:
@@ -285,6 +287,22 @@
 	return r.directory.PutEndpoint(now, e, c.Position())
 }
 
+// applyEvacuation applies a request to evacuate a failure domain, or its removal. Whatever
+// the value is, the key's existence is the request: a value that can't be read must not
+// send flows into the domain.
+func (r *Replica) applyEvacuation(now time.Duration, domain string, c *platform.Change) (changed bool) {
+	id := event.DomainEvacuated
+	if c.Removed {
+		id = event.EvacuationRemoved
+		changed = r.directory.EndEvacuation(now, domain, c.Position())
+	} else {
+		changed = r.directory.Evacuate(domain, c.Position())
+	}
+	event.Log(r.logger, id, slog.String("domain", domain), logPosition(c.Position()),
+		slog.Bool("changed", changed), slog.Duration("held_for", r.directory.RecoveryGraceLeft(now)))
+	return changed
+}
+
 func (r *Replica) logEndpoint(e *catalog.Endpoint, position catalog.Position) {
 	id := event.EndpointListed
 	if e.Draining {
--- a/internal/relay/dump.go
+++ b/internal/relay/dump.go
@@ -39,7 +39,11 @@
 	Domain   string
 	Listed   bool
 	Draining bool
-	Suspect  bool
+	// Evacuated is set while its failure domain is evacuated.
+	Evacuated bool
+	// Cold is set while the endpoint is cold after its start or an evacuation.
+	Cold    bool
+	Suspect bool
 	// UnansweredSYNs counts consecutive SYNs without a handshake ACK.
 	UnansweredSYNs int
 	// Open counts the flows at the endpoint, Busy those that wait for an answer.
@@ -100,6 +104,8 @@
 			Domain:         e.Entry.Domain,
 			Listed:         e.Entry.Listed,
 			Draining:       e.Entry.Draining,
+			Evacuated:      r.view.Evacuated(e.Entry.Domain),
+			Cold:           now < e.Entry.WarmAt,
 			Suspect:        e.Suspect(now),
 			UnansweredSYNs: e.UnansweredSYNs(),
 			Open:           e.Open,
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -33,11 +33,14 @@
 	DropLagging
 	// DropMoved: a copy of a held SYN is missing, so another host may have forwarded it.
 	DropMoved
+	// DropEvacuated: a SYN had no handshake ACK, its endpoint's domain was evacuated since,
+	// and no other endpoint takes it. The flow may have opened there, so it is not reset.
+	DropEvacuated
 	dropReasons
 )
 
 var dropNames = [dropReasons]string{
-	"looped", "no_configuration", "no_token", "unknown_endpoint", "foreign_service", "no_route", "ended", "lagging", "moved",
+	"looped", "no_configuration", "no_token", "unknown_endpoint", "foreign_service", "no_route", "ended", "lagging", "moved", "evacuated",
 }
 
 // String returns the reason's name in logs and metrics.
@@ -147,6 +150,9 @@
 	FailedOver int64
 	// Held counts the new flows that had to wait for room at the endpoints.
 	Held int64
+	// Diverted counts new flows of services some of whose endpoints were left out since
+	// their failure domain is evacuated.
+	Diverted int64
 	// TakenOver counts flows added by a packet after their SYN.
 	TakenOver int64
 	// Contested counts packets that name another endpoint than their flow's.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -102,6 +102,9 @@
 	candidates []*balance.Endpoint
 	// slots is the number of the candidates' slots.
 	slots int
+	// evacuated is the number of endpoints left out since their failure domain is
+	// evacuated.
+	evacuated int
 	// inFlight counts the flows whose request waits at an endpoint; overdue ones do
 	// not count. window limits it, and held are the flows that wait for room.
 	inFlight int
@@ -166,7 +169,7 @@
 
 func (r *Relay) updateServices(v *catalog.View) {
 	for _, s := range r.services {
-		s.candidates, s.slots = s.candidates[:0], 0
+		s.candidates, s.slots, s.evacuated = s.candidates[:0], 0, 0
 	}
 	if v.Configuration == nil {
 		return
@@ -178,6 +181,14 @@
 			s.slots += max(entry.Slots, 1)
 		}
 	}
+	if len(v.EvacuatedDomains()) == 0 {
+		return
+	}
+	for _, entry := range v.Entries() {
+		if entry.Listed && !entry.Draining && v.Evacuated(entry.Domain) {
+			r.service(entry.Service).evacuated++
+		}
+	}
 }
 
 // service returns the state of a service, created if necessary.
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -44,14 +44,15 @@
 func (r *Relay) handleRetransmittedSYN(now time.Duration, f *flow, route *catalog.Route, s segment.Segment, frame []byte) {
 	r.stats.RetransmittedSYNs++
 	f.lastSeen = now
-	rerouted := !route.Allows(f.service.name)
+	rerouted := !route.Allows(f.service.name) || r.leftDomain(f)
 	duplicate := now-f.sentAt < duplicateWindow
 	if f.state == stateOpen || (duplicate && !rerouted) {
 		r.forward(f.endpoint.Entry, frame)
 		return
 	}
 	if rerouted {
-		// It was placed under an older configuration and has no handshake ACK.
+		// It was placed under an older configuration, or in a domain that was evacuated
+		// since, and has no handshake ACK.
 		r.removeFlow(f)
 		r.place(now, route, s, frame)
 		return
@@ -59,6 +60,12 @@
 	r.failOver(now, f, s.Retransmissions(), frame)
 }
 
+// leftDomain reports whether the flow's endpoint, which may have accepted its SYN, is in a
+// failure domain that was evacuated since.
+func (r *Relay) leftDomain(f *flow) bool {
+	return f.endpoint != nil && r.view.Evacuated(f.endpoint.Entry.Domain)
+}
+
 // place forwards the SYN of a new flow, holds it, or rejects it.
 func (r *Relay) place(now time.Duration, route *catalog.Route, s segment.Segment, frame []byte) {
 	sv := r.serviceFor(route, s.Flow.Hash())
@@ -108,6 +115,9 @@
 	f.requestAt, f.progressAt = now, now
 	r.tryEndpoint(now, f, p.Choice.Endpoint, frame)
 	r.stats.Placed++
+	if f.service.evacuated > 0 {
+		r.stats.Diverted++
+	}
 	p.Try = f.tries
 	r.options.Observer.Placed(now, p)
 }
@@ -153,6 +163,10 @@
 			Tried:       f.triedEndpoints(),
 		}, &f.service.observed, f.service.candidates)
 	}
+	if p.Choice.Endpoint == nil && r.leftDomain(f) {
+		r.drop(now, f.key, DropEvacuated)
+		return
+	}
 	if p.Choice.Endpoint == nil {
 		f.sentAt = now
 		r.forward(f.endpoint.Entry, frame)
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -48,6 +48,12 @@
 	functional("view_revision", func() int64 { return int64(viewPosition().Revision) })
 	functional("view_incarnation", func() int64 { return int64(viewPosition().Incarnation) })
 	functional("store_restores", d.control.restores.Load)
+	functional("domains_evacuated", func() int64 {
+		if v := d.control.view.Load(); v != nil {
+			return int64(len(v.EvacuatedDomains()))
+		}
+		return 0
+	})
 }
 
 // updateRelayGauges publishes a snapshot of the relay's counters.
@@ -61,6 +67,7 @@
 	set("flows", s.Flows)
 	set("flows_placed", s.Placed)
 	set("flows_held", s.Held)
+	set("flows_diverted", s.Diverted)
 	set("flows_sent_on", s.FailedOver)
 	set("flows_adopted", s.TakenOver)
 	set("flows_evicted", s.Evicted)
--- a/internal/relayd/queries.go
+++ b/internal/relayd/queries.go
@@ -39,6 +39,7 @@
 	}
 	if v := d.control.view.Load(); v != nil && v.Configuration != nil {
 		s.Version = v.Configuration.Version
+		s.Evacuated = v.EvacuatedDomains()
 	}
 	for _, h := range d.control.hosts(ctx) {
 		s.Hosts = append(s.Hosts, adminapi.HostStatus{Name: h.Name, Domain: h.Domain, State: "registered"})
@@ -104,8 +105,12 @@
 		state = "removed"
 	case e.Draining:
 		state = "draining"
+	case e.Evacuated:
+		state = "evacuated"
 	case e.Suspect:
 		state = "suspect"
+	case e.Cold:
+		state = "cold"
 	case e.Slowness > 1:
 		state = "slow"
 	}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -70,7 +70,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	d := &Daemon{
 		settings:  s,
-		timings:   follow.NewTimings(min(s.Bounds.Configuration, s.Bounds.Drain)),
+		timings:   follow.NewTimings(s.Bounds.ShortestChange()),
 		clock:     newClock(),
 		logWriter: logbuf.New(out),
 		store:     platform.NewStore(s.Store.Address),
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -24,7 +24,9 @@
 	// defaultMemoryMB, in units of 2^20 bytes, is well above what a relay needs.
 	defaultMemoryMB = 256
 	defaultCPUShare = 1.0
-	defaultLinkMbps = 1000.0
+	// defaultColdFactor allows exactly what the configuration states.
+	defaultColdFactor = 1.0
+	defaultLinkMbps   = 1000.0
 	// maxMemoryMB keeps the size in bytes within 63 bits.
 	maxMemoryMB = 1 << 30
 )
@@ -44,8 +46,19 @@
 	MemoryBytes int64
 	// CPUShare is the process's share of a core, LinkMbps the bandwidth of its link in
 	// Mbit/s. Hosts with more of both feed the others.
-	CPUShare float64
-	LinkMbps float64
+	CPUShare  float64
+	LinkMbps  float64
+	Placement RelayPlacement
+}
+
+// RelayPlacement turns decisions on new flows on that deployments have to ask for.
+type RelayPlacement struct {
+	// Spillover lets the host send new flows to other failure domains as long as the
+	// endpoints of its own answer later.
+	Spillover bool
+	// RouteShares guarantees each route of a service its part of the room at congested
+	// endpoints.
+	RouteShares bool
 }
 
 // RelayListen holds the addresses of a relay's listeners.
@@ -84,6 +97,14 @@
 	// the host acts on it.
 	Configuration time.Duration
 	Drain         time.Duration
+	// Evacuation is the same for an evacuation of a failure domain; 0 if the deployment
+	// states none.
+	Evacuation time.Duration
+	// ColdFactor and ColdAllowance bound the requests that a cold endpoint may get within
+	// a second, from all hosts together: the number that its service's configuration
+	// states times the factor, plus the allowance.
+	ColdFactor    float64
+	ColdAllowance float64
 	// Stop is the time from SIGTERM to SIGKILL.
 	Stop time.Duration
 	// FlowLifetime is the age after which a flow's state may be discarded.
@@ -131,6 +152,9 @@
 	s.CPUShare = limits.Number("cpu_share", defaultCPUShare)
 	s.LinkMbps = limits.Number("link_mbps", defaultLinkMbps)
 	limits.RejectUnknown()
+	placement := root.Table("placement")
+	s.Placement = RelayPlacement{Spillover: placement.Flag("spillover"), RouteShares: placement.Flag("route_shares")}
+	placement.RejectUnknown()
 	root.RejectUnknown()
 	return s
 }
@@ -171,6 +195,9 @@
 		Heartbeat:     t.Duration("heartbeat", defaultHeartbeat),
 		Configuration: t.Duration("configuration", defaultConfiguration),
 		Drain:         t.Duration("drain", defaultDrain),
+		Evacuation:    t.Duration("evacuation", 0),
+		ColdFactor:    t.Number("cold_factor", defaultColdFactor),
+		ColdAllowance: t.Number("cold_allowance", 0),
 		Stop:          t.Duration("stop", defaultStop),
 		FlowLifetime:  t.Duration("flow_lifetime", defaultFlowLifetime),
 	}
@@ -178,6 +205,16 @@
 	return b
 }
 
+// ShortestChange returns the shortest of the times within which a change in the store
+// must be in force.
+func (b RelayBounds) ShortestChange() time.Duration {
+	shortest := min(b.Configuration, b.Drain)
+	if b.Evacuation > 0 {
+		shortest = min(shortest, b.Evacuation)
+	}
+	return shortest
+}
+
 // checkRelay reports errors that the conversion of single values does not find.
 func checkRelay(s *Relay, root *tomldoc.Table) {
 	for _, name := range []struct{ key, value string }{{"name", s.Name}, {"domain", s.Domain}} {
@@ -203,6 +240,15 @@
 	}
 	reportOverlaps(all, listen)
 	bounds := root.Table("bounds")
+	if s.Bounds.Evacuation < 0 {
+		bounds.Report("evacuation", s.Bounds.Evacuation.String()+" is negative", "a duration above 0")
+	}
+	if s.Bounds.ColdFactor <= 0 {
+		bounds.Report("cold_factor", "is not positive", "a number above 0")
+	}
+	if s.Bounds.ColdAllowance < 0 {
+		bounds.Report("cold_allowance", "is negative", "a number from 0")
+	}
 	for _, b := range []struct {
 		key   string
 		value time.Duration
--- a/internal/tomldoc/values.go
+++ b/internal/tomldoc/values.go
@@ -15,6 +15,7 @@
 	allowedString    = "a string"
 	allowedInteger   = "an integer"
 	allowedNumber    = "a number"
+	allowedFlag      = "true or false"
 	allowedStrings   = "an array of strings"
 	allowedDuration  = `a duration such as "250ms" or "5m"`
 	allowedAddress   = `an address with port, such as "192.0.2.1:5683" or "[2001:db8::1]:5683"`
@@ -41,6 +42,18 @@
 	return t.Text(key)
 }
 
+// Flag returns a boolean, or false if the key is missing.
+func (t *Table) Flag(key string) bool {
+	if !t.Has(key) {
+		return false
+	}
+	value, ok := t.values[key].(bool)
+	if !ok {
+		t.reportWrongType(key, t.values[key], allowedFlag)
+	}
+	return value
+}
+
 // Choice returns a string that must be one of the choices.
 func (t *Table) Choice(key string, choices ...string) string {
 	text := t.Text(key)
