relay, outlier: Count the answers of hosts without failures in failure reports

Cause: only hosts that had seen an endpoint fail reported on it, so that the sum of a domain's reports held all failures but the answers of few hosts. With work of which 3% takes 7 times as long, and so counts as overdue, endpoints in order appeared to fail several times as often as they do. They were avoided, and the others queued. Ruled out: answer-time outliers (off: same), the window (off: part of it). Change: a host reports its answers from endpoints that others report; such reports wake nobody and end with the others' failures.

--- a/internal/balance/tally.go
+++ b/internal/balance/tally.go
@@ -120,6 +120,19 @@
 	return t, true
 }
 
+// AnswerTally returns this host's tally of an endpoint that other hosts report, for a
+// failure report; ok is false if it has none, or other hosts report no failures. Without
+// the answers of hosts that saw no failure, the failures of few hosts would be compared
+// with the answers of these alone: with twenty hosts and heavy-tailed work, endpoints in
+// order would count as failing.
+func (e *Endpoint) AnswerTally(now time.Duration, s *Service) (t Tally, ok bool) {
+	if e.reportedTally.Failed < minReportedFailures || s.tally.share() > maxServiceFailureShare {
+		return Tally{}, false
+	}
+	t = e.ownTally.At(now)
+	return t, t.Answers > 0
+}
+
 // The shares from which an endpoint is reported as failing, and below which as
 // recovered.
 const (
--- a/internal/feed/reports.go
+++ b/internal/feed/reports.go
@@ -51,7 +51,7 @@
 	for _, s := range encoded {
 		// Values that can't be counts are dropped; a comparison with NaN is
 		// false.
-		if s.Failed > 0 && s.Answers >= s.Failed && s.Answers < maxAnswers {
+		if s.Failed >= 0 && s.Answers > 0 && s.Answers >= s.Failed && s.Answers < maxAnswers {
 			list = append(list, outlier.Report{
 				Endpoint: catalog.Token(s.Token), Answers: float64(s.Answers), Failed: float64(s.Failed),
 			})
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -18,7 +18,8 @@
 const reportLifetime = 2 * time.Second
 
 // Report is a failure report on one endpoint: the numbers of its answers and of
-// the failed ones among them, decayed so that older requests count less.
+// the failed ones among them, decayed so that older requests count less. A host that saw
+// none of an endpoint's failures reports its answers once others report failures.
 type Report struct {
 	Endpoint catalog.Token
 	Answers  float64
@@ -57,7 +58,7 @@
 }
 
 // ReportAdded returns a channel that is closed when a host other than the given
-// one reports an endpoint that it did not report before, which should be
+// one reports failures of an endpoint of which it reported none before, which should be
 // forwarded immediately.
 func (a *Aggregator) ReportAdded(host string) <-chan struct{} {
 	a.mu.Lock()
@@ -106,10 +107,12 @@
 	delete(a.byHost, host)
 }
 
-// hasNewEndpoint reports whether the list has an endpoint that former lacks.
+// hasNewEndpoint reports whether the list has failures of an endpoint for which former has
+// none.
 func hasNewEndpoint(former, list []Report) bool {
 	for _, s := range list {
-		if !slices.ContainsFunc(former, func(f Report) bool { return f.Endpoint == s.Endpoint }) {
+		known := func(f Report) bool { return f.Endpoint == s.Endpoint && f.Failed > 0 }
+		if s.Failed > 0 && !slices.ContainsFunc(former, known) {
 			return true
 		}
 	}
--- a/internal/relay/reports.go
+++ b/internal/relay/reports.go
@@ -8,11 +8,17 @@
 )
 
 // FailureReports returns this host's failure reports for the other hosts of its
-// failure domain.
+// failure domain: on endpoints that failed requests here, and its answers from those that
+// failed requests of the others.
 func (r *Relay) FailureReports(now time.Duration) []outlier.Report {
 	var list []outlier.Report
 	for token, e := range r.endpoints {
-		if t, ok := e.FailureTally(now, &r.service(e.Entry.Service).observed); ok {
+		s := &r.service(e.Entry.Service).observed
+		t, ok := e.FailureTally(now, s)
+		if !ok {
+			t, ok = e.AnswerTally(now, s)
+		}
+		if ok {
 			list = append(list, outlier.Report{Endpoint: token, Answers: t.Answers, Failed: t.Failed})
 		}
 	}
