balance, relay: Separate the decision on a SYN from its records

Cause: balance.Choose marks trials, window.Full records that its limit was needed and serviceFor creates services, so a query could not use the decision without changing it.

Result: go test ./internal/balance ./internal/relay passes, with the allocation tests.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -269,64 +269,42 @@
 // are free, cold, slow, failing part of their requests, or dead without notice.
 // The choice has no Endpoint if there is no candidate or all were tried.
 func Choose(r Request, s *Service, candidates []*Endpoint) Choice {
-	best := Choice{Candidates: len(candidates)}
-	var bestSuspect Choice
-	var rank uint64
-	var suspectRank uint64
-	mayTry := s.trouble.allowsTrial(r.Now, len(r.Tried) > 0)
+	best := Preview(r, s, candidates)
+	if best.Trial {
+		best.Endpoint.probing = true
+	}
+	s.trouble.chosen(best.Trial, len(r.Tried) > 0)
+	return best
+}
+
+// Preview returns what Choose would return now and changes nothing.
+func Preview(r Request, s *Service, candidates []*Endpoint) Choice {
+	var best, bestSuspect Rank
+	suspects := 0
+	mayTry := r.mayTry(s)
 	for _, e := range candidates {
 		if contains(r.Tried, e) {
 			continue
 		}
-		suspect := e.Suspect(r.Now) || e.unansweredSYNs > 0 && !mayTry
-		c := Choice{Endpoint: e, Expected: e.Expected(r.Now, s), Trial: e.unansweredSYNs > 0 && !suspect}
-		c.Cost = c.Expected + extraCost(e, r, s)
-		score := rendezvousHash(r.Hash, uint64(e.Entry.Token()))
-		if suspect {
-			best.Suspects++
-			if bestSuspect.Endpoint == nil || c.preferredTo(bestSuspect, score, suspectRank) {
-				bestSuspect, suspectRank = c, score
+		k := rank(e, &r, s, mayTry)
+		if k.Suspect {
+			suspects++
+			if bestSuspect.Endpoint == nil || k.preferredTo(&bestSuspect) {
+				bestSuspect = k
 			}
 			continue
 		}
-		if best.Endpoint == nil || c.preferredTo(best, score, rank) {
-			c.Candidates, c.Suspects = best.Candidates, best.Suspects
-			best, rank = c, score
+		if best.Endpoint == nil || k.preferredTo(&best) {
+			best = k
 		}
 	}
-	if best.Endpoint == nil || bestSuspect.Endpoint != nil && bestSuspect.Cost+suspectPenalty < best.Cost {
-		bestSuspect.Candidates, bestSuspect.Suspects = best.Candidates, best.Suspects
+	if bestSuspect.replaces(&best) {
 		best = bestSuspect
 	}
-	if best.Trial {
-		best.Endpoint.probing = true
-	}
-	s.trouble.chosen(best.Trial, len(r.Tried) > 0)
-	return best
-}
-
-// preferredTo reports whether c is preferred to the other choice: trials first,
-// then the lower cost, then the lower rendezvous hash.
-func (c Choice) preferredTo(other Choice, rank, otherRank uint64) bool {
-	if c.Trial != other.Trial {
-		// An endpoint whose suspicion has expired gets the next flow: without a
-		// flow, its suspicion could never be cleared.
-		return c.Trial
-	}
-	if c.Cost != other.Cost {
-		return c.Cost < other.Cost
+	return Choice{
+		Endpoint: best.Endpoint, Cost: best.Cost, Expected: best.Expected,
+		Candidates: len(candidates), Suspects: suspects, Trial: best.Trial,
 	}
-	return rank < otherRank
-}
-
-// extraCost returns the cost of requests in progress, of a remote failure domain
-// and of failures.
-func extraCost(e *Endpoint, r Request, s *Service) time.Duration {
-	cost := time.Duration(busySlotCost * float64(s.UsualAnswerTime()) * float64(e.Busy))
-	if e.Entry.Domain != r.Domain {
-		cost += remoteDomainCost
-	}
-	return cost + time.Duration(e.ExcessFailureShare(r.Now, s)*float64(r.FailureCost))
 }
 
 func contains(list []*Endpoint, e *Endpoint) bool {
@@ -337,12 +315,3 @@
 	}
 	return false
 }
-
-// rendezvousHash ranks an endpoint for a flow, lowest first (rendezvous hashing
-// with the finalizer of SplitMix64).
-func rendezvousHash(hash, token uint64) uint64 {
-	x := hash ^ token*0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -66,33 +66,51 @@
 
 // mustWait reports whether a new flow of the service has to wait at this host.
 func (r *Relay) mustWait(now time.Duration, sv *service) bool {
-	if r.options.Disabled.Holding || r.draining || r.lagging {
+	if r.holdsNothing() {
 		return false
 	}
 	return len(sv.held) > 0 || sv.window.Full(now, sv.inFlight, r.fairLimit(sv))
 }
 
+// holdsNothing reports whether flows are forwarded or rejected without a wait.
+func (r *Relay) holdsNothing() bool { return r.options.Disabled.Holding || r.draining || r.lagging }
+
 // hold lets a flow wait until there is room at the endpoints. If the flow that is last
 // in the order can't be forwarded before its caller's attempt ends, that one is
 // rejected at once.
 func (r *Relay) hold(now time.Duration, f *flow, route *catalog.Route) {
-	since := now - sinceFirstSYN(f.retransmissions)
 	f.state = stateHeld
-	f.waiter = balance.Waiter{
-		Since: since, Target: f.valuable(), Priority: route.Priority,
-		Until: min(since+openTimeout-openMargin, since+f.timeout-f.service.observed.UsualAnswerTime()),
-	}
+	f.waiter = f.newWaiter(now, route)
 	sv := f.service
 	sv.held = append(sv.held, f)
 	r.heldFlows++
 	r.stats.Held++
 	r.schedule(f, f.waiter.Until)
-	if last := sv.held[sv.last(now)]; len(sv.held) > maxHeld || now+r.queueTime(sv) > last.waiter.Until {
+	if last := r.surplus(now, sv); last != nil {
 		r.rejectHeld(now, last)
 	}
 	r.releaseHeld(now)
 }
 
+// newWaiter returns the place of a flow that begins to wait.
+func (f *flow) newWaiter(now time.Duration, route *catalog.Route) balance.Waiter {
+	since := now - sinceFirstSYN(f.retransmissions)
+	return balance.Waiter{
+		Since: since, Target: f.valuable(), Priority: route.Priority,
+		Until: min(since+openTimeout-openMargin, since+f.timeout-f.service.observed.UsualAnswerTime()),
+	}
+}
+
+// surplus returns the last held flow in the order if it can't be forwarded before its
+// caller's attempt ends, or nil.
+func (r *Relay) surplus(now time.Duration, sv *service) *flow {
+	last := sv.held[sv.last(now)]
+	if len(sv.held) > maxHeld || now+r.queueTime(sv) > last.waiter.Until {
+		return last
+	}
+	return nil
+}
+
 // queueTime returns the expected time until all held flows of a service have been
 // forwarded: by Little's law, as many as may wait for answers in each answer time.
 // Until answers have been seen, it counts the slots and what waits for them.
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -101,11 +101,9 @@
 	p := r.placement(f.key, f.route, f.service.name)
 	p.Retransmissions = f.retransmissions
 	p.Waited = now - f.startedAt
-	p.Choice = r.options.Choose(balance.Request{
-		Now: now, Hash: f.key.Hash(), Domain: r.options.Domain, FailureCost: f.timeout,
-	}, &f.service.observed, f.service.candidates)
+	p.Choice = r.options.Choose(r.request(now, f), &f.service.observed, f.service.candidates)
 	p.Endpoint = p.Choice.Endpoint.Entry
-	if !r.options.Disabled.Admission && !r.lagging && !balance.Admit(route, p.Choice) {
+	if !r.admits(route, p.Choice) {
 		r.removeFlow(f)
 		r.reject(now, p, 0, RejectOverload)
 		return
@@ -122,22 +120,43 @@
 	r.options.Observer.Placed(now, p)
 }
 
-// serviceFor returns the service for a new flow: the one that its hash selects,
-// or another service of the route if that one has no endpoint.
+// request returns the request to choose an endpoint for a flow.
+func (r *Relay) request(now time.Duration, f *flow) balance.Request {
+	return balance.Request{Now: now, Hash: f.key.Hash(), Domain: r.options.Domain, FailureCost: f.timeout}
+}
+
+// admits reports whether a new flow may be forwarded to the chosen endpoint.
+func (r *Relay) admits(route *catalog.Route, c balance.Choice) bool {
+	return r.options.Disabled.Admission || r.lagging || balance.Admit(route, c)
+}
+
+// serviceFor returns the service for a new flow, created if necessary.
 func (r *Relay) serviceFor(route *catalog.Route, hash uint64) *service {
-	selected := r.service(route.Service(hash))
-	if len(selected.candidates) > 0 {
+	if sv := r.knownService(route, hash); sv != nil {
+		return sv
+	}
+	return r.service(route.Service(hash))
+}
+
+// knownService returns the service for a new flow: the one that its hash selects, or
+// another service of the route if that one has no endpoint. It is nil if there is no
+// state of the service.
+func (r *Relay) knownService(route *catalog.Route, hash uint64) *service {
+	selected := r.services[route.Service(hash)]
+	if selected.takesFlows() {
 		return selected
 	}
 	for _, share := range route.Shares {
-		other := r.service(share.Service)
-		if share.Weight > 0 && len(other.candidates) > 0 {
+		if other := r.services[share.Service]; share.Weight > 0 && other.takesFlows() {
 			return other
 		}
 	}
 	return selected
 }
 
+// takesFlows reports whether the service, which may be nil, has endpoints for new flows.
+func (s *service) takesFlows() bool { return s != nil && len(s.candidates) > 0 }
+
 // tryEndpoint forwards the SYN to an endpoint.
 func (r *Relay) tryEndpoint(now time.Duration, f *flow, e *balance.Endpoint, frame []byte) {
 	f.tried[f.tries], f.triedAt[f.tries] = e, now
@@ -155,13 +174,9 @@
 	p.Retransmissions = retransmissions
 	p.Waited = now - f.startedAt
 	if f.tries < maxTries && !r.options.Disabled.Failover {
-		p.Choice = r.options.Choose(balance.Request{
-			Now:         now,
-			Hash:        f.key.Hash(),
-			Domain:      r.options.Domain,
-			FailureCost: f.timeout,
-			Tried:       f.triedEndpoints(),
-		}, &f.service.observed, f.service.candidates)
+		request := r.request(now, f)
+		request.Tried = f.triedEndpoints()
+		p.Choice = r.options.Choose(request, &f.service.observed, f.service.candidates)
 	}
 	if p.Choice.Endpoint == nil && r.leftDomain(f) {
 		r.drop(now, f.key, DropEvacuated)
