relay: Explain where a new flow would go

Cause: no query showed where a host would send a new flow now and why; the flow query knows only flows that exist.

Change: Relay.Explain makes the decision of Packet with the same functions on a copy of the service and returns the outcome with its cause, and the service's endpoints in the order of preference with the parts of their costs and the reasons against them. Reasons are rules in one table.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -268,3 +269,41 @@
 		})
 	}
 }
+
+// TestRankingFollowsChoose guards against a ranking that differs from the choice: each
+// endpoint of it is the one that a choice without those before returns. Preview must
+// return the same and change nothing.
+func TestRankingFollowsChoose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := endpoints(rapid.IntRange(1, 8).Draw(t, "n"), "here", "there")
+		var s Service
+		now := time.Second
+		for _, e := range all {
+			e.Busy = rapid.IntRange(0, 12).Draw(t, "busy")
+			if rapid.Bool().Draw(t, "cold") {
+				e.Entry.WarmAt = 2 * now
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "unanswered") {
+				at := now - time.Duration(rapid.IntRange(0, 200).Draw(t, "before"))*ms
+				e.RecordUnansweredSYN(at, at, &s)
+			}
+			e.SetReported(now, Tally{Answers: 10, Failed: float64(rapid.IntRange(0, 10).Draw(t, "failed"))})
+		}
+		r := request(now, rapid.Uint64().Draw(t, "hash"))
+		r.FailureCost = time.Second
+		ranking, service := Ranking(r, &s, all), s
+		require.Len(t, ranking, len(all))
+		for i := range ranking {
+			first := ranking[i].Endpoint
+			endpoint := *first
+			preview := Preview(r, &s, all)
+			require.Equal(t, endpoint, *first)
+			require.Equal(t, service, s)
+			require.Same(t, first, preview.Endpoint)
+			require.Equal(t, ranking[i].Cost, preview.Cost)
+			require.Equal(t, preview, Choose(r, &s, all))
+			s, first.probing = service, endpoint.probing
+			all = slices.DeleteFunc(all, func(e *Endpoint) bool { return e == first })
+		}
+	})
+}
--- a/internal/balance/window.go
+++ b/internal/balance/window.go
@@ -68,18 +68,16 @@
 // Full reports whether one more request has to wait at the host, given the requests
 // that wait for answers and the host's share of the service's slots.
 func (w *Window) Full(now time.Duration, inFlight int, share float64) bool {
-	if !w.AtLimit(inFlight, share) {
+	if !w.closed {
+		return false
+	}
+	if float64(inFlight) < w.Limit(share) {
 		return false
 	}
 	w.neededAt = now
 	return true
 }
 
-// AtLimit is Full for a query: it does not record that the limit was needed.
-func (w *Window) AtLimit(inFlight int, share float64) bool {
-	return w.closed && float64(inFlight) >= w.Limit(share)
-}
-
 // Closed reports whether there is a limit.
 func (w *Window) Closed() bool { return w.closed }
 
--- /dev/null
+++ b/internal/relay/explain.go
@@ -0,0 +1,218 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"toucangap/internal/balance"
+	"toucangap/internal/catalog"
+)
+
+// Outcome is what a host would do with a flow.
+type Outcome string
+
+// The outcomes of an explanation.
+const (
+	// OutcomePlaced: the SYN would be forwarded to an endpoint.
+	OutcomePlaced Outcome = "placed"
+	// OutcomeHeld: the SYN would wait at the host for room at the endpoints.
+	OutcomeHeld Outcome = "held"
+	// OutcomeRefused: the caller would get a reset.
+	OutcomeRefused Outcome = "refused"
+	// OutcomeDropped: the SYN would be dropped without an answer.
+	OutcomeDropped Outcome = "dropped"
+	// OutcomeExisting: the host has the flow, and its packets follow it.
+	OutcomeExisting Outcome = "existing"
+)
+
+// The causes of an outcome that is neither refused, whose cause is a Rejection, nor
+// dropped, whose cause is a Drop.
+const (
+	// CauseLowestCost: the endpoint has the lowest cost.
+	CauseLowestCost = "lowest_cost"
+	// CauseTrial: the endpoint's suspicion has expired, and the flow tests it.
+	CauseTrial = "trial"
+	// CauseSuspect: the endpoint is suspect, but there is no other, or all others cost
+	// much more.
+	CauseSuspect = "suspect"
+	// CauseWindow: the endpoints are congested, and the window is full.
+	CauseWindow = "window_full"
+	// CauseQueue: other flows of the service wait.
+	CauseQueue = "others_wait"
+	// CauseFlow: the host has the flow.
+	CauseFlow = "flow"
+)
+
+// Explanation is what a host would do with a flow now, and why.
+type Explanation struct {
+	Flow    catalog.Flow
+	Route   string
+	Service string
+	// Version is that of the configuration, Position that of the view.
+	Version  uint64
+	Position catalog.Position
+	// Existing is the flow's state if the host has the flow, or nil.
+	Existing *FlowState
+	Outcome  Outcome
+	// Cause is the reason for the outcome, Endpoint the id of the endpoint that gets
+	// the flow's packets, if there is one.
+	Cause    string
+	Endpoint string
+	// InFlight counts the service's requests that wait for answers, Held the flows that
+	// wait at the host. Limit bounds InFlight; 0 means that there is no limit.
+	InFlight int
+	Held     int
+	Limit    float64
+	// Candidates are endpoints of the service in the order of preference, those that
+	// take no new flows last. CandidateCount counts all of them.
+	Candidates     []Candidate
+	CandidateCount int
+}
+
+// Candidate is an endpoint in an Explanation.
+type Candidate struct {
+	ID     string
+	Domain string
+	// Available is set if the endpoint takes new flows.
+	Available bool
+	// Reasons are why it does not, or why it is not preferred.
+	Reasons []Reason
+	// Cost is the sum of Costs.
+	Cost  time.Duration
+	Costs balance.Costs
+	// Open counts the flows at the endpoint, Busy those that wait for an answer.
+	Open int
+	Busy int
+}
+
+// Explain returns what the host would do with the first SYN of a flow now, with at most
+// limit candidates. It changes nothing. If the host has the flow, the candidates are
+// those of another flow with the same addresses. The decision is the one of Packet,
+// except that a flow is taken as held also if there has been room for some of those that
+// wait since the last packet, and that a full flow table is not considered: a new flow
+// then replaces another one, whose request no longer counts. Options.Choose is not used.
+func (r *Relay) Explain(now time.Duration, key catalog.Flow, limit int) Explanation {
+	x := Explanation{Flow: key}
+	if r.view == nil || r.view.Configuration == nil {
+		x.decide(OutcomeDropped, DropNoConfiguration.String())
+		return x
+	}
+	x.Version, x.Position = r.view.Configuration.Version, r.view.Position
+	f := r.flows[key]
+	if f != nil {
+		state := f.snapshot(now)
+		x.Existing = &state
+	}
+	route := r.view.Route(key.Destination)
+	if route == nil {
+		x.decide(OutcomeRefused, RejectNoRoute.String())
+		return x
+	}
+	sv := r.knownService(route, key.Hash())
+	if sv == nil {
+		sv = &service{name: route.Service(key.Hash())}
+	}
+	x.Route, x.Service = route.Name, sv.name
+	x.InFlight, x.Held = sv.inFlight, len(sv.held)
+	if sv.window.Closed() && !r.holdsNothing() {
+		x.Limit = sv.window.Limit(r.fairLimit(sv))
+	}
+	// The decision is made on a copy of the service, with its window, and on a flow that
+	// is not in the table, so that what it records is discarded.
+	trial := *sv
+	added := &flow{
+		key: key, service: &trial, startedAt: now,
+		route: route.Name, timeout: route.Timeout, target: route.TargetLatency,
+	}
+	r.explainCandidates(now, &x, added, limit)
+	if f != nil && f.state != stateEnded {
+		x.decide(OutcomeExisting, CauseFlow)
+		x.Endpoint = x.Existing.Endpoint
+		return x
+	}
+	r.explainDecision(now, &x, added, route)
+	return x
+}
+
+func (x *Explanation) decide(o Outcome, cause string) { x.Outcome, x.Cause = o, cause }
+
+// explainDecision sets the outcome for a new flow; see Relay.place.
+func (r *Relay) explainDecision(now time.Duration, x *Explanation, f *flow, route *catalog.Route) {
+	sv := f.service
+	switch {
+	case len(sv.candidates) == 0 && r.lagging:
+		x.decide(OutcomeDropped, DropLagging.String())
+	case len(sv.candidates) == 0:
+		x.decide(OutcomeRefused, RejectNoEndpoint.String())
+	case r.mustWait(now, sv):
+		r.explainHold(now, x, f, route)
+	default:
+		r.explainOpen(now, x, f, route)
+	}
+}
+
+// explainHold sets the outcome for a flow that has to wait; see Relay.hold.
+func (r *Relay) explainHold(now time.Duration, x *Explanation, f *flow, route *catalog.Route) {
+	cause := CauseWindow
+	if x.Held > 0 {
+		cause = CauseQueue
+	}
+	f.waiter = f.newWaiter(now, route)
+	// Clipped, so that the append does not write to the relay's list.
+	f.service.held = append(slices.Clip(f.service.held), f)
+	if r.surplus(now, f.service) == f {
+		x.decide(OutcomeRefused, RejectOverload.String())
+		return
+	}
+	x.decide(OutcomeHeld, cause)
+}
+
+// explainOpen sets the outcome for a flow that is placed at once; see Relay.open.
+func (r *Relay) explainOpen(now time.Duration, x *Explanation, f *flow, route *catalog.Route) {
+	c := balance.Preview(r.request(now, f), &f.service.observed, f.service.candidates)
+	if !r.admits(route, c) {
+		x.decide(OutcomeRefused, RejectOverload.String())
+		return
+	}
+	x.Endpoint = c.Endpoint.Entry.ID
+	switch {
+	case c.Trial:
+		x.decide(OutcomePlaced, CauseTrial)
+	case c.Endpoint.UnansweredSYNs() > 0:
+		x.decide(OutcomePlaced, CauseSuspect)
+	default:
+		x.decide(OutcomePlaced, CauseLowestCost)
+	}
+}
+
+// explainCandidates adds the endpoints of the flow's service.
+func (r *Relay) explainCandidates(now time.Duration, x *Explanation, f *flow, limit int) {
+	sv := f.service
+	available := make(map[*balance.Endpoint]bool, len(sv.candidates))
+	for _, e := range sv.candidates {
+		available[e] = true
+	}
+	var others []*balance.Endpoint
+	for _, e := range r.endpoints {
+		if e.Entry.Service == sv.name && !available[e] {
+			others = append(others, e)
+		}
+	}
+	request := r.request(now, f)
+	ranks := balance.Ranking(request, &sv.observed, sv.candidates)
+	ranks = append(ranks, balance.Ranking(request, &sv.observed, others)...)
+	x.CandidateCount = len(ranks)
+	for i := range ranks[:min(limit, len(ranks))] {
+		k := &ranks[i]
+		x.Candidates = append(x.Candidates, Candidate{
+			ID:        k.Endpoint.Entry.ID,
+			Domain:    k.Endpoint.Entry.Domain,
+			Available: available[k.Endpoint],
+			Reasons:   r.reasons(now, sv, k),
+			Cost:      k.Cost,
+			Costs:     k.Costs,
+			Open:      k.Endpoint.Open,
+			Busy:      k.Endpoint.Busy,
+		})
+	}
+}
--- /dev/null
+++ b/internal/relay/explain_test.go
@@ -0,0 +1,368 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"toucangap/internal/balance"
+	"toucangap/internal/catalog"
+	"toucangap/internal/segment"
+)
+
+// explain explains a port's flow with all candidates.
+func (r *harness) explain(port uint16) Explanation {
+	return r.relay.Explain(r.now, flowOf(port), 1000)
+}
+
+// put registers an endpoint of service "s".
+func (r *harness) put(e catalog.Endpoint) {
+	r.revision++
+	e.Recipient, e.Service = 1, "s"
+	r.directory.PutEndpoint(r.now, &e, catalog.Position{Revision: r.revision})
+	r.publish()
+}
+
+// remove removes an endpoint's entry.
+func (r *harness) remove(id string) {
+	r.revision++
+	r.directory.RemoveEndpoint(r.now, id, catalog.Position{Revision: r.revision})
+	r.publish()
+}
+
+func (r *harness) endEvacuation(domain string) {
+	r.revision++
+	r.directory.EndEvacuation(r.now, domain, catalog.Position{Revision: r.revision})
+	r.publish()
+}
+
+// site is a harness to which random events happen. Two sites to which the same events
+// happen are alike unless a query changes one of them.
+type site struct {
+	*harness
+	ports uint16
+	hosts int
+}
+
+func newSite(t testing.TB) *site {
+	s := &site{harness: newHarness(t, 0), hosts: 1}
+	s.relay.options.Hosts = func() int { return s.hosts }
+	return s
+}
+
+// step is a random event.
+type step struct {
+	kind  string
+	n     int
+	port  uint16
+	after time.Duration
+}
+
+var stepKinds = []string{
+	"syn", "syn", "syn", "syn", "syn", "answer", "answer", "answer", "advance", "advance", "put", "put", "drain", "remove",
+	"evacuate", "end evacuation", "fail", "report", "lag", "resume", "hosts", "configure", "remove route", "stop holding",
+}
+
+func drawStep(t *rapid.T) step {
+	return step{
+		kind:  rapid.SampledFrom(stepKinds).Draw(t, "kind"),
+		n:     rapid.IntRange(0, 5).Draw(t, "n"),
+		port:  uint16(rapid.IntRange(0, 40).Draw(t, "port")),
+		after: time.Duration(rapid.SampledFrom([]int{1, 5, 26, 60, 300, 1500}).Draw(t, "after")) * ms,
+	}
+}
+
+func (s *site) endpoint(n int) catalog.Endpoint {
+	e := catalog.Endpoint{ID: fmt.Sprintf("i-%d", n), Domain: []string{"d", "d", "far"}[n%3], Slots: 1 + n%2}
+	if n == 4 {
+		e.ColdFor = time.Second
+	}
+	return e
+}
+
+// apply makes an event other than a SYN happen.
+func (s *site) apply(e step) {
+	id, domain := fmt.Sprintf("i-%d", e.n), []string{"d", "far"}[e.n%2]
+	known := s.relay.endpoints[catalog.TokenOf(id)]
+	switch e.kind {
+	case "answer":
+		s.answer(e.port)
+	case "advance":
+		s.advance(e.after)
+	case "put":
+		s.put(s.endpoint(e.n))
+	case "drain":
+		draining := s.endpoint(e.n)
+		draining.Draining = true
+		s.put(draining)
+	case "remove":
+		s.remove(id)
+	case "evacuate":
+		s.evacuate(domain)
+	case "end evacuation":
+		s.endEvacuation(domain)
+	case "fail":
+		for range 8 {
+			if known != nil {
+				known.RecordOutcome(s.now, true, &s.relay.service("s").observed)
+			}
+		}
+	case "report":
+		if known != nil {
+			known.SetReported(s.now, balance.Tally{Answers: 10, Failed: float64(e.port % 10)})
+		}
+	case "lag":
+		s.relay.SetLagging(s.now, e.n == 0)
+	case "resume":
+		s.relay.Resume(s.now)
+	case "hosts":
+		s.hosts = 1 + e.n
+	case "configure":
+		s.configure([]string{"s", "other"}[min(e.n/5, 1)])
+	case "remove route":
+		if e.n == 0 {
+			s.configure()
+		}
+	case "stop holding":
+		if e.n == 0 && e.port == 0 {
+			s.relay.StopHolding(s.now)
+		}
+	}
+}
+
+// answer completes the handshake of a port's flow and its request.
+func (s *site) answer(port uint16) {
+	f := s.relay.flows[flowOf(port)]
+	if f == nil || f.endpoint == nil {
+		return
+	}
+	id := f.endpoint.Entry.ID
+	s.ack(port, id, 5001, 10)
+	s.advance(8 * ms)
+	s.ack(port, id, 6001, 0)
+	s.packet(segment.Segment{Flow: flowOf(port), Token: catalog.TokenOf(id), Sequence: 1011, Acknowledgement: 6001, Ack: true, Fin: true})
+}
+
+// state returns a copy of what decisions depend on.
+func (s *site) state() map[any]any {
+	all := make(map[any]any)
+	for name, sv := range s.relay.services {
+		all[name] = *sv
+	}
+	for token, e := range s.relay.endpoints {
+		all[token] = *e
+	}
+	for key, f := range s.relay.flows {
+		all[key] = *f
+	}
+	return all
+}
+
+// nextSYN sends the SYN of a new flow and returns what was sent and recorded.
+func (s *site) nextSYN() (sent, events []string) {
+	s.drain()
+	s.syn(s.ports, 0)
+	return s.drain()
+}
+
+// TestExplainAgreesWithThePlacement guards against an explanation that names another
+// endpoint, reason or refusal than the SYN that follows gets, and against one that
+// changes what happens then: a second relay sees the same events without the query.
+func TestExplainAgreesWithThePlacement(t *testing.T) {
+	outcomes := make(map[string]int)
+	rapid.Check(t, func(rt *rapid.T) {
+		asked, silent := newSite(t), newSite(t)
+		for _, s := range []*site{asked, silent} {
+			s.put(s.endpoint(0))
+			s.put(s.endpoint(1))
+			s.put(s.endpoint(2))
+		}
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			e := drawStep(rt)
+			if e.kind != "syn" {
+				asked.apply(e)
+				silent.apply(e)
+				continue
+			}
+			for range 1 + 8*(e.n/5) {
+				outcomes[compareSYN(rt, asked, silent)]++
+			}
+		}
+	})
+	t.Log(outcomes)
+}
+
+// compareSYN explains the next port's flow at one site, sends its SYN to both, and
+// returns the explained outcome.
+func compareSYN(t require.TestingT, asked, silent *site) string {
+	asked.ports, silent.ports = asked.ports+1, silent.ports+1
+	before, state := asked.relay.Stats(), asked.state()
+	x := asked.explain(asked.ports)
+	require.Equal(t, state, asked.state(), "the query has changed something")
+	require.Equal(t, before, asked.relay.Stats())
+	sent, events := asked.nextSYN()
+	silentSent, silentEvents := silent.nextSYN()
+	require.Equal(t, silentSent, sent, "the query has changed the decision")
+	require.Equal(t, silentEvents, events)
+	requireAgreement(t, asked, x, before, sent, events)
+	return string(x.Outcome) + " " + x.Cause
+}
+
+// requireAgreement compares an explanation with what the SYN's flow got.
+func requireAgreement(t require.TestingT, s *site, x Explanation, before Stats, sent, events []string) {
+	after := s.relay.Stats()
+	held := int(after.Held - before.Held)
+	switch {
+	case x.Outcome == OutcomePlaced:
+		require.Equal(t, []string{x.Endpoint}, sent)
+		require.Equal(t, []string{"placed"}, events)
+		require.Zero(t, held)
+		require.Equal(t, x.Endpoint, x.Candidates[0].ID, "the first candidate is the chosen one")
+	case x.Outcome == OutcomeHeld:
+		require.Equal(t, 1, held)
+	case x.Outcome == OutcomeRefused && x.Held+x.InFlight > 0 && held == 1:
+		// The flow itself was refused, not another one that waits.
+		require.Equal(t, RejectOverload.String(), x.Cause)
+		require.Nil(t, s.relay.flows[x.Flow])
+		require.Contains(t, events, "rejected overload")
+	case x.Outcome == OutcomeRefused:
+		require.Equal(t, []string{"reset"}, sent)
+		require.Equal(t, []string{"rejected " + x.Cause}, events)
+	case x.Outcome == OutcomeDropped:
+		require.Empty(t, sent)
+		require.Equal(t, []string{"dropped " + x.Cause}, events)
+	default:
+		require.Fail(t, "unexpected outcome", "%+v", x)
+	}
+	for i, c := range x.Candidates {
+		require.Equal(t, c.Cost, c.Costs.Expected+c.Costs.InProgress+c.Costs.OtherDomain+c.Costs.Failures)
+		if c.Available {
+			require.True(t, i == 0 || x.Candidates[i-1].Available, "those that take no new flows are last")
+			continue
+		}
+		require.NotEmpty(t, c.Reasons, "%s is left out without a reason", c.ID)
+		require.Subset(t, []Reason{ReasonRemoved, ReasonDraining, ReasonEvacuated, ReasonUnknownService}, c.Reasons[:1])
+	}
+}
+
+// TestExplainNamesEveryReason guards against an endpoint that is left out or avoided
+// without a reason in the explanation.
+func TestExplainNamesEveryReason(t *testing.T) {
+	r := newHarness(t, 1)
+	r.put(catalog.Endpoint{ID: "i-busy", Domain: "d", Slots: 1})
+	r.put(catalog.Endpoint{ID: "i-cold", Domain: "d", Slots: 2, ColdFor: time.Minute})
+	r.put(catalog.Endpoint{ID: "i-draining", Domain: "d", Slots: 2, Draining: true})
+	r.put(catalog.Endpoint{ID: "i-evacuated", Domain: "gone", Slots: 2})
+	r.put(catalog.Endpoint{ID: "i-failing", Domain: "d", Slots: 2})
+	r.put(catalog.Endpoint{ID: "i-far", Domain: "far", Slots: 2})
+	r.put(catalog.Endpoint{ID: "i-removed", Domain: "d", Slots: 2})
+	r.put(catalog.Endpoint{ID: "i-suspect", Domain: "d", Slots: 2})
+	r.put(catalog.Endpoint{ID: "i-trial", Domain: "d", Slots: 2})
+	r.evacuate("gone")
+	r.directory.RemoveEndpoint(r.now, "i-removed", catalog.Position{Revision: r.revision + 1})
+	r.publish()
+	endpoint := func(id string) *balance.Endpoint { return r.relay.endpoints[catalog.TokenOf(id)] }
+	observed := &r.relay.service("s").observed
+	endpoint("i-busy").Busy = 1
+	endpoint("i-failing").SetReported(r.now, balance.Tally{Answers: 10, Failed: 10})
+	endpoint("i-trial").RecordUnansweredSYN(r.now-time.Second, r.now-time.Second, observed)
+	endpoint("i-suspect").RecordUnansweredSYN(r.now, r.now, observed)
+
+	x := r.explain(1)
+	got := make(map[string][]Reason)
+	for _, c := range x.Candidates {
+		got[c.ID] = c.Reasons
+	}
+	require.Equal(t, map[string][]Reason{
+		"i-1":         nil,
+		"i-busy":      {ReasonNoSlot},
+		"i-cold":      {ReasonCold},
+		"i-draining":  {ReasonDraining},
+		"i-evacuated": {ReasonEvacuated, ReasonOtherDomain},
+		"i-failing":   {ReasonFailing},
+		"i-far":       {ReasonOtherDomain},
+		"i-removed":   {ReasonRemoved},
+		"i-suspect":   {ReasonSuspect},
+		"i-trial":     {ReasonTrial},
+	}, got)
+	require.Equal(t, []string{"i-trial", "i-1"}, []string{x.Candidates[0].ID, x.Candidates[1].ID}, "in the order of preference")
+	require.Equal(t, []string{"r", "s", "placed", CauseTrial, "i-trial"}, []string{x.Route, x.Service, string(x.Outcome), x.Cause, x.Endpoint})
+	require.Equal(t, r.relay.view.Position, x.Position)
+	require.Equal(t, r.directory.Configuration().Version, x.Version)
+
+	limited := r.relay.Explain(r.now, flowOf(1), 2)
+	require.Equal(t, x.Candidates[:2], limited.Candidates)
+	require.Equal(t, 10, limited.CandidateCount)
+	require.Empty(t, r.relay.Explain(r.now, flowOf(1), 0).Candidates)
+}
+
+// TestExplainOfAnExistingFlow guards against an explanation that promises a new endpoint
+// to a flow whose packets follow the one that it has.
+func TestExplainOfAnExistingFlow(t *testing.T) {
+	r, placed := heldHarness(t)
+	x := r.explain(1)
+	require.Equal(t, OutcomeExisting, x.Outcome)
+	require.Equal(t, "i-1", x.Endpoint)
+	require.Equal(t, "opening", x.Existing.State)
+	x = r.explain(placed + 1)
+	require.Equal(t, OutcomeExisting, x.Outcome)
+	require.Equal(t, "held", x.Existing.State)
+	require.Empty(t, x.Endpoint)
+	x = r.explain(placed + 2)
+	require.Nil(t, x.Existing)
+	require.Equal(t, OutcomeHeld, x.Outcome)
+	require.Equal(t, []int{int(placed), 1}, []int{x.InFlight, x.Held})
+	require.Positive(t, x.Limit)
+
+	r.finish(1)
+	x = r.explain(1)
+	require.Equal(t, "ended", x.Existing.State)
+	require.Equal(t, OutcomeHeld, x.Outcome, "a new SYN from the port is a new flow")
+}
+
+// TestExplainCreatesNothing guards against queries that add services, or that fail on a
+// host without a view.
+func TestExplainCreatesNothing(t *testing.T) {
+	empty := New(Options{Domain: "d", FlowLifetime: lifetime}, 0)
+	require.Equal(t, OutcomeDropped, empty.Explain(0, theFlow, 10).Outcome)
+
+	r := newHarness(t, 1)
+	r.configure("unknown")
+	services := len(r.relay.services)
+	x := r.explain(1)
+	require.Equal(t, OutcomeRefused, x.Outcome)
+	require.Equal(t, RejectNoEndpoint.String(), x.Cause)
+	require.Equal(t, "unknown", x.Service)
+	require.Len(t, r.relay.services, services)
+}
+
+// TestExplainOfAnOverloadedService guards against an explanation that says that a flow
+// would be placed or held while it is refused, either by the queue's length or, at a host
+// that holds nothing, by the expected time to answer.
+func TestExplainOfAnOverloadedService(t *testing.T) {
+	for _, exiting := range []bool{false, true} {
+		asked, silent := newSite(t), newSite(t)
+		for _, s := range []*site{asked, silent} {
+			s.put(s.endpoint(0))
+			if exiting {
+				s.relay.StopHolding(s.now)
+			}
+		}
+		outcomes := make(map[string]int)
+		for i := range 200 {
+			if i == 150 {
+				// Less urgent flows come last in the queue.
+				for _, s := range []*site{asked, silent} {
+					s.configure("s")
+					s.directory.Configuration().Routes[0].Priority = 3
+				}
+			}
+			outcomes[compareSYN(t, asked, silent)]++
+		}
+		require.Positive(t, outcomes["refused overload"], "%v", outcomes)
+		require.Equal(t, exiting, outcomes["held window_full"] == 0, "%v", outcomes)
+	}
+}
--- /dev/null
+++ b/internal/relay/reason.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"time"
+
+	"toucangap/internal/balance"
+)
+
+// Reason is why an endpoint takes no new flow, or why others may be preferred to it.
+type Reason string
+
+// The reasons in explanations.
+const (
+	// ReasonRemoved: the endpoint's entry has left the store.
+	ReasonRemoved Reason = "removed"
+	// ReasonDraining: the endpoint is about to stop.
+	ReasonDraining Reason = "draining"
+	// ReasonEvacuated: its failure domain is evacuated.
+	ReasonEvacuated Reason = "evacuated"
+	// ReasonUnknownService: the configuration does not name its service.
+	ReasonUnknownService Reason = "unknown_service"
+	// ReasonSuspect: SYNs to it were unanswered, and no flow may test it now.
+	ReasonSuspect Reason = "suspect"
+	// ReasonTrial: SYNs to it were unanswered, and one flow may test it.
+	ReasonTrial Reason = "trial"
+	// ReasonCold: it has just started, or its failure domain's evacuation has ended.
+	ReasonCold Reason = "cold"
+	// ReasonSlow: it takes longer to answer than its service usually does.
+	ReasonSlow Reason = "slow"
+	// ReasonFailing: it fails more requests than its service.
+	ReasonFailing Reason = "failing"
+	// ReasonNoSlot: as far as this host knows, a request would wait for a slot.
+	ReasonNoSlot Reason = "no_free_slot"
+	// ReasonOtherDomain: it is in another failure domain than the host.
+	ReasonOtherDomain Reason = "other_domain"
+)
+
+// reasonRule tells whether a reason applies to an endpoint.
+type reasonRule struct {
+	reason  Reason
+	applies func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool
+}
+
+// reasonRules are the rules in the order of explanations. A decision that leaves an
+// endpoint out, or makes it cost more, needs a rule here.
+var reasonRules = []reasonRule{
+	{ReasonRemoved, func(r *Relay, _ time.Duration, _ *service, k *balance.Rank) bool {
+		return !k.Endpoint.Entry.Listed || r.view.ByToken(k.Endpoint.Entry.Token()) != k.Endpoint.Entry
+	}},
+	{ReasonDraining, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool {
+		return k.Endpoint.Entry.Draining
+	}},
+	{ReasonEvacuated, func(r *Relay, _ time.Duration, _ *service, k *balance.Rank) bool {
+		return r.view.Evacuated(k.Endpoint.Entry.Domain)
+	}},
+	{ReasonUnknownService, func(r *Relay, _ time.Duration, sv *service, _ *balance.Rank) bool {
+		_, known := r.view.Configuration.Services[sv.name]
+		return !known
+	}},
+	{ReasonSuspect, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Suspect }},
+	{ReasonTrial, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Trial }},
+	{ReasonCold, func(_ *Relay, now time.Duration, _ *service, k *balance.Rank) bool {
+		return now < k.Endpoint.Entry.WarmAt
+	}},
+	{ReasonSlow, func(_ *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
+		return k.Endpoint.Slowness(now, &sv.observed) > 1
+	}},
+	{ReasonFailing, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Failures > 0 }},
+	{ReasonNoSlot, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return !k.Endpoint.Free() }},
+	{ReasonOtherDomain, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.OtherDomain > 0 }},
+}
+
+// reasons returns the reasons that apply to an endpoint of the service.
+func (r *Relay) reasons(now time.Duration, sv *service, k *balance.Rank) []Reason {
+	var all []Reason
+	for _, rule := range reasonRules {
+		if rule.applies(r, now, sv, k) {
+			all = append(all, rule.reason)
+		}
+	}
+	return all
+}
