--- a/internal/balance/window.go
+++ b/internal/balance/window.go
@@ -78,6 +78,9 @@
 	return true
 }
 
+// Closed reports whether there is a limit.
+func (w *Window) Closed() bool { return w.closed }
+
 // Limit returns how many requests may wait for answers while there is a limit, given
 // the host's share of the slots.
 func (w *Window) Limit(share float64) float64 { return max(w.limit, share, minLimit) }
