relayd: Do not overwrite a wake of the traffic goroutine

Cause: a wake moves the socket's read deadline into the past. One that came between the check for tasks and the setting of the next deadline was overwritten, so that a new view, a query or the end was noticed up to 250 ms later. Change: tasks, the view and the end are checked again after the deadline is set.

--- a/internal/relayd/traffic.go
+++ b/internal/relayd/traffic.go
@@ -103,7 +103,7 @@
 	t.lastCheck, t.lastSlept = t.lastRefresh, t.clock.BootTime()-t.lastRefresh
 	for !t.stopping.Load() {
 		t.runTasks()
-		if err := t.conn.SetReadDeadline(t.deadline()); err != nil {
+		if err := t.setReadDeadline(); err != nil {
 			return merry.Prepend(err, "set the read deadline")
 		}
 		n, err := t.socket.read(frame[platform.RecipientBytes:])
@@ -144,6 +144,24 @@
 	return t.socket.read(frame[platform.RecipientBytes:])
 }
 
+// setReadDeadline sets the time until which to wait for a packet. It checks for tasks and
+// views afterwards: a wake just before is overwritten, and would be noticed only after
+// maxIdleWait.
+func (t *traffic) setReadDeadline() error {
+	if err := t.conn.SetReadDeadline(t.deadline()); err != nil {
+		return err
+	}
+	if t.pending() {
+		t.wake()
+	}
+	return nil
+}
+
+// pending reports whether a task, a new view or the end waits for the traffic goroutine.
+func (t *traffic) pending() bool {
+	return len(t.tasks) > 0 || t.control.view.Load() != t.view || t.stopping.Load()
+}
+
 // deadline returns the time until which to wait for a packet.
 func (t *traffic) deadline() time.Time {
 	now := t.clock.Monotonic()
