relayd: Make the test of an overwritten wake see the fault

Cause: the test passed without the change that it is about, since the read ended after the 250 ms of idle wait. Change: the idle wait is a field, which the test sets to an hour. Result: without the check after the deadline the test blocks, with it it passes.

--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -103,6 +103,7 @@
 		logger:     d.logger,
 		observer:   newObserver(d.logger, d.control.age, d.registry),
 		callerPort: d.settings.Listen.Packets.Port(),
+		idleWait:   maxIdleWait,
 		tasks:      make(chan func(), 1),
 	}
 	d.traffic.relay = relay.New(relay.Options{
--- a/internal/relayd/traffic.go
+++ b/internal/relayd/traffic.go
@@ -54,6 +54,8 @@
 	observer *observer
 	// callerPort is the port at which callers receive packets, such as resets.
 	callerPort uint16
+	// idleWait is maxIdleWait; tests set a longer one.
+	idleWait time.Duration
 	// tasks run on the traffic goroutine.
 	tasks    chan func()
 	stopping atomic.Bool
@@ -165,7 +167,7 @@
 // deadline returns the time until which to wait for a packet.
 func (t *traffic) deadline() time.Time {
 	now := t.clock.Monotonic()
-	wait := maxIdleWait
+	wait := t.idleWait
 	if due, ok := t.relay.NextDue(); ok {
 		wait = min(wait, max(0, due-now))
 	}
--- a/internal/relayd/traffic_test.go
+++ b/internal/relayd/traffic_test.go
@@ -26,10 +26,8 @@
 		"stop": func(x *traffic) { x.stopping.Store(true) },
 	} {
 		c := newClock()
-		// The clock's start lies in the future, so that no deadline passes by itself.
-		c.started = time.Now().Add(time.Hour)
 		x := &traffic{
-			clock: c, conn: conn, tasks: make(chan func(), 1), relay: relay.New(relay.Options{}, 0),
+			clock: c, conn: conn, idleWait: time.Hour, tasks: make(chan func(), 1), relay: relay.New(relay.Options{}, 0),
 			control: newControl(c, slog.New(slog.DiscardHandler), metrics.NewRegistry(), time.Minute, time.Minute),
 		}
 		require.False(t, x.pending(), name)
