catalog: Keep endpoints cold after an evacuation when entries arrive

Cause: the first heartbeat after an evacuation replaced the entry and with it the end of the cold time, so that endpoints counted as warm after at most 1.2 s. Change: the end is kept over later entries if the service limits flows to cold endpoints. Result: a test that failed before; services without a limit are as before.

--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -74,6 +74,9 @@
 	for _, entry := range d.entries {
 		if cold, ok := d.configuration.ColdStarts[entry.Service]; ok && entry.Domain == domain {
 			entry.WarmAt = max(entry.WarmAt, now+cold.For)
+			if cold.PerSecond > 0 {
+				entry.idleUntil = now + cold.For
+			}
 		}
 	}
 	return true
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -88,3 +88,18 @@
 	require.True(t, changed)
 	require.Empty(t, d.View(back+recoveryGrace).EvacuatedDomains())
 }
+
+// TestEntryDoesNotEndColdAfterEvacuation: the first heartbeat after an evacuation must not
+// let the domain's endpoints count as warm if flows to cold ones are limited.
+func TestEntryDoesNotEndColdAfterEvacuation(t *testing.T) {
+	for perSecond, want := range map[float64]time.Duration{0: time.Second, 3: 3 * time.Second} {
+		d := newTwoDomains()
+		d.Configuration().ColdStarts["s"] = ColdStart{For: 2 * time.Second, PerSecond: perSecond}
+		d.Evacuate("a", at(10))
+		d.EndEvacuation(time.Second, "a", at(11))
+		renewed := endpoint("i-a", "s")
+		renewed.Domain = "a"
+		d.PutEndpoint(time.Second, renewed, at(12))
+		require.Equal(t, want, d.View(time.Second).ByToken(TokenOf("i-a")).WarmAt)
+	}
+}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -110,6 +110,9 @@
 	// there is none.
 	restored      *Endpoint
 	restoredUntil time.Duration
+	// idleUntil is until when the endpoint counts as cold since its domain was evacuated,
+	// whatever its next entries say; 0 if its service's cold endpoints have no limit.
+	idleUntil time.Duration
 }
 
 // restoredHold is how long a restored store's entry is held back if it would make
@@ -177,10 +180,14 @@
 }
 
 func (d *Directory) install(now time.Duration, e *Endpoint, position Position) {
-	d.entries[e.ID] = &directoryEntry{Entry: Entry{
+	var idleUntil time.Duration
+	if old := d.entries[e.ID]; old != nil {
+		idleUntil = old.idleUntil
+	}
+	d.entries[e.ID] = &directoryEntry{idleUntil: idleUntil, Entry: Entry{
 		Endpoint: e,
 		Position: position,
-		WarmAt:   now + e.ColdFor,
+		WarmAt:   max(now+e.ColdFor, idleUntil),
 		Listed:   true,
 	}}
 }
