follow: Record when hosts registered and left

Cause: the owner of a cold endpoint may act only once no more than two hosts can take themselves for it, which depends on when the registrations changed. A gate rejects if the registrations change while it decides, since the age of the state may then be that of the newer one.

--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -77,8 +77,9 @@
 // hosts together may send limit in a second: it is the owner, at most one other host can
 // take itself for the owner at the same time, and half of the limit leaves room.
 func (g *Gate) Allows(now time.Duration, r *Rules, endpoint, domain string, limit int) bool {
-	return g.Owner(now, r, endpoint, domain) == r.Host && now >= g.owned.clearAt &&
-		g.free(now, limit) && r.ViewAge() < r.MaxViewAge
+	owns := g.Owner(now, r, endpoint, domain) == r.Host && now >= g.owned.clearAt
+	// The age may be that of a state which has replaced the one that the owner comes from.
+	return owns && g.free(now, limit) && r.ViewAge() < r.MaxViewAge && g.hosts == r.Hosts()
 }
 
 // free reports whether one more flow stays within this host's half of the limit. The
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucangap/internal/coldstart"
 	"toucangap/internal/event"
 	"toucangap/platform"
 )
@@ -38,6 +39,7 @@
 	if c.Removed {
 		if h, ok := r.hosts[name]; ok {
 			delete(r.hosts, name)
+			r.registry.Remove(now, h.coldstartHost())
 			r.absences[name] = absence{domain: h.Domain, removedAt: now}
 			event.Log(r.logger, event.HostUnregistered, slog.String("host", name), logPosition(c.Position()))
 		}
@@ -46,14 +48,21 @@
 	var h Host
 	if err := json.Unmarshal(c.Value, &h); err != nil || h.Name != name || !h.Feed.IsValid() {
 		event.Log(r.logger, event.EntryInvalid, slog.String("host", name), logPosition(c.Position()))
-		delete(r.hosts, name)
+		if old, ok := r.hosts[name]; ok {
+			delete(r.hosts, name)
+			r.registry.Remove(now, old.coldstartHost())
+		}
 		return
 	}
 	if r.hosts[name] != h && !r.listing {
 		event.Log(r.logger, event.HostListed, slog.String("host", name), slog.String("domain", h.Domain),
 			slog.String("feed", h.Feed.String()), logPosition(c.Position()))
 	}
+	if old, ok := r.hosts[name]; ok && old.Domain != h.Domain {
+		r.registry.Remove(now, old.coldstartHost())
+	}
 	r.hosts[name] = h
+	r.registry.Put(now, h.coldstartHost())
 	if a, ok := r.absences[name]; ok && !a.returned {
 		a.returned, a.returnedAt = true, now
 		r.absences[name] = a
@@ -119,6 +128,17 @@
 	return len(restarting) == 0 || 2*ready >= all+1, restarting
 }
 
+func (h Host) coldstartHost() coldstart.Host { return coldstart.Host{Name: h.Name, Domain: h.Domain} }
+
+// Registrations returns the registered hosts with the times of changes, or nil if there
+// was no change since the last call.
+func (r *Replica) Registrations(now time.Duration) *coldstart.Hosts {
+	if !r.registry.Changed() {
+		return nil
+	}
+	return r.registry.Snapshot(now)
+}
+
 // HostCount returns the number of registered hosts.
 func (r *Replica) HostCount() int { return len(r.hosts) }
 
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"toucangap/internal/catalog"
+	"toucangap/internal/coldstart"
 	"toucangap/internal/event"
 	"toucangap/platform"
 )
@@ -72,6 +73,8 @@
 	// which one was not registered.
 	hosts    map[string]Host
 	absences map[string]absence
+	// registry holds the registrations with the times of their changes.
+	registry coldstart.Registry
 	secret   []byte
 	asOf     time.Duration
 	// inForce is the write of the configuration in force. A restored store may hold
