relay: Send new flows to cold endpoints only from their owner

Cause: services state how many requests a second a cold endpoint can handle, and nothing limited them over all hosts. Change: endpoints that are cold and not allowed here are left out of first choices, failovers, held flows and copies of SYNs. If none is left, new and held flows are refused at once with the reason cold. An endpoint that did not answer a SYN while the caller was waiting counts as cold until an entry written later arrives, and for the service's cold time once it responds; a flow from before that goes on shows that it has not restarted. Metrics and the dump show cold endpoints and their owners.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -89,6 +89,9 @@
 	// answered other flows but not them. A host that forwards by tokens reports the
 	// consecutive SYNs without a handshake ACK.
 	UnansweredFlows int64 `json:"silent_flows"`
+	// ColdOwner is the name of the only host that sends new flows to the endpoint while it
+	// is cold; empty if it is not cold or its service sets no limit.
+	ColdOwner string `json:"cold_owner,omitempty"`
 }
 
 // PeerDump is the state of one peer at this host.
--- a/internal/command/queries/dump.go
+++ b/internal/command/queries/dump.go
@@ -73,6 +73,9 @@
 	rows := []string{"SERVICE\tENDPOINT\tDOMAIN\tSTATE\tFLOWS\tREQUESTS\tPEERS' FLOWS\tPEERS' REQUESTS\tSILENT"}
 	for _, s := range services {
 		for _, e := range s.Endpoints {
+			if e.ColdOwner != "" {
+				e.State += " (owner " + e.ColdOwner + ")"
+			}
 			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d",
 				s.Name, e.Name, e.Domain, e.State, e.Flows, e.Requests, e.PeersFlows, e.PeersRequests, e.UnansweredFlows))
 		}
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -31,7 +31,7 @@
 	Definitions: []Definition{
 		{FlowPlaced, slog.LevelInfo, "flow placed", "None."},
 		{FlowFailedOver, slog.LevelWarn, "no handshake ACK for a SYN; failed over to another endpoint", "See event 8007 of the endpoint that did not respond."},
-		{FlowRejected, slog.LevelWarn, "flow reset", "See the reason: no_route, no_endpoint, overload, dead_endpoint or route_removed."},
+		{FlowRejected, slog.LevelWarn, "flow reset", "See the reason: no_route, no_endpoint, overload, dead_endpoint, route_removed or cold."},
 		{FlowClosed, slog.LevelInfo, "flow ended", "None; answered=false means that the caller got no answer from the endpoint."},
 		{FlowTakenOver, slog.LevelInfo, "flow of another host taken over", "None; the routers sent the caller to this host."},
 		{FlowContested, slog.LevelInfo, "packet names an endpoint other than the flow's", "None after event 8001 of the same flow; otherwise check what sends them."},
--- /dev/null
+++ b/internal/relay/cold_test.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangap/internal/catalog"
+	"toucangap/internal/coldstart"
+)
+
+// coldFor is how long endpoints of the limited service are cold.
+const coldFor = 6 * time.Second
+
+// limitedHarness returns a relay whose service allows 4 flows a second to a cold endpoint,
+// 2 of them by this host. Its endpoints i-1 to i-n are warm. The host owns all of them if
+// owner is "self", else none.
+func limitedHarness(t testing.TB, n int, owner string) *harness {
+	r := newHarness(t, n)
+	var registry coldstart.Registry
+	registry.Put(0, coldstart.Host{Name: owner, Domain: "d"})
+	hosts := registry.Snapshot(0)
+	r.relay.options.Cold = coldstart.Rules{
+		Host: coldstart.Host{Name: "self", Domain: "d"}, Hosts: func() *coldstart.Hosts { return hosts },
+		ViewAge: func() time.Duration { return 0 }, MaxViewAge: 2 * time.Second, Bounds: coldstart.Bounds{Factor: 1, Allowance: 1},
+	}
+	r.directory.Configuration().ColdStarts = map[string]catalog.ColdStart{"s": {For: coldFor, PerSecond: 3}}
+	r.publish()
+	return r
+}
+
+// report publishes an entry of an endpoint's process, cold for a span.
+func (r *harness) report(id string, process int64, cold time.Duration) {
+	r.revision++
+	r.directory.PutEndpoint(r.now, &catalog.Endpoint{
+		ID: id, Recipient: 1, Service: "s", Domain: "d", Slots: 2, StartedUnixMs: process, ColdFor: cold,
+	}, catalog.Position{Revision: r.revision})
+	r.publish()
+}
+
+// TestColdEndpointsAreLeftToTheirOwner guards against flows to cold endpoints from other
+// hosts, and from the owner beyond its half of the limit; what can't go anywhere must be
+// refused at once, also while flows would be held.
+func TestColdEndpointsAreLeftToTheirOwner(t *testing.T) {
+	for owner, want := range map[string][]string{"self": {"i-1", "i-1", "reset", "reset"}, "other": {"reset", "reset", "reset", "reset"}} {
+		r := limitedHarness(t, 1, owner)
+		r.report("i-1", 1, coldFor)
+		for port := range uint16(4) {
+			r.syn(port, 0)
+		}
+		sent, events := r.drain()
+		require.Equal(t, want, sent)
+		require.Equal(t, "rejected cold", events[3])
+		states := r.relay.Endpoints(r.now)
+		require.True(t, states[0].Cold)
+		require.Equal(t, owner, states[0].ColdOwner)
+		r.now += coldFor
+		require.Equal(t, "i-1", r.place(9), "it is warm")
+	}
+}
+
+// TestOtherChoicesAvoidColdEndpoints guards against cold endpoints as targets of failover
+// and of held flows.
+func TestOtherChoicesAvoidColdEndpoints(t *testing.T) {
+	r := limitedHarness(t, 2, "other")
+	r.report("i-2", 1, coldFor)
+	require.Equal(t, "i-1", r.place(1))
+	r.advance(100 * ms)
+	sent, _ := r.drain()
+	require.Equal(t, []string{"i-1"}, sent, "no endpoint is left")
+
+	r = limitedHarness(t, 1, "other")
+	for port := uint16(1); r.relay.stats.Held == 0; port++ {
+		r.syn(port, 0)
+	}
+	r.drain()
+	r.report("i-1", 2, coldFor)
+	r.syn(90, 0)
+	_, events := r.drain()
+	require.Equal(t, []string{"rejected cold", "rejected cold"}, events, "the held flow and a new one, both at once")
+}
+
+// silent returns a relay whose endpoint i-1 did not answer the SYN of flow 2 while that of
+// flow 1 is open there; i-2 has accepted flow 2 if the caller waited.
+func silent(t *testing.T, callerWaits bool) *harness {
+	r := limitedHarness(t, 1, "other")
+	r.report("i-1", 1, 0)
+	r.syn(1, 0)
+	r.ack(1, "i-1", 5001, 10)
+	r.now += 10 * ms
+	r.syn(2, 0)
+	r.addEndpoint("i-2", "s")
+	r.advance(30 * ms)
+	if callerWaits {
+		r.ack(2, "i-2", 5001, 10)
+	}
+	r.drain()
+	return r
+}
+
+// first returns the endpoint of a new flow that i-1 would get as a trial if it could.
+func (r *harness) first(port uint16) string {
+	r.advance(100 * ms)
+	r.drain()
+	return r.place(port)
+}
+
+// TestSilentEndpointCountsAsCold guards against trials of an endpoint that may have
+// restarted from all hosts at once, before its new entry arrives, and against the loss of
+// one that has not restarted or has only refused a flow.
+func TestSilentEndpointCountsAsCold(t *testing.T) {
+	require.Equal(t, "i-1", silent(t, false).first(3), "its reset may have reached the caller")
+	require.Equal(t, "i-2", silent(t, true).first(3))
+
+	r := silent(t, true)
+	r.ack(1, "i-1", 6001, 0)
+	require.False(t, r.relay.Endpoints(r.now)[0].Cold, "a flow from before has gone on")
+
+	r = silent(t, true)
+	r.ack(9, "i-1", 1, 10)
+	r.ack(9, "i-1", 500, 0)
+	require.Equal(t, "i-2", r.first(3), "it responds again on an unknown flow")
+	r.report("i-1", 1, 0)
+	require.True(t, r.relay.Endpoints(r.now)[0].Cold, "the entry may be from before its restart")
+	r.advance(reportDelay)
+	r.publish()
+	require.True(t, r.relay.Endpoints(r.now)[0].Cold)
+	r.report("i-1", 1, 0)
+	require.False(t, r.relay.Endpoints(r.now)[0].Cold, "the entry is from after the silence")
+
+	r = silent(t, true)
+	r.report("i-1", 2, time.Second)
+	require.True(t, r.relay.Endpoints(r.now)[0].Cold)
+	r.advance(time.Second)
+	require.False(t, r.relay.Endpoints(r.now)[0].Cold, "the new process says when it is warm")
+}
+
+// TestCopyDoesNotReachRestartedEndpoint guards against copies of a SYN that open new flows
+// at an endpoint that has restarted since the first one.
+func TestCopyDoesNotReachRestartedEndpoint(t *testing.T) {
+	r := limitedHarness(t, 1, "other")
+	require.Equal(t, "i-1", r.place(1))
+	r.advance(200 * ms)
+	r.drain()
+	r.report("i-1", 2, coldFor)
+	r.syn(1, 1)
+	sent, events := r.drain()
+	require.Empty(t, sent)
+	require.Equal(t, []string{"dropped cold"}, events)
+}
+
+// TestWithoutLimitDecidesAsBefore guards against any effect on services without a limit, or
+// on hosts without a list of hosts, whose endpoints are cold or did not answer SYNs.
+func TestWithoutLimitDecidesAsBefore(t *testing.T) {
+	run := func(change func(r *harness)) (sent, events []string) {
+		r := limitedHarness(t, 4, "other")
+		change(r)
+		r.publish()
+		for port := range uint16(200) {
+			if port%50 == 10 {
+				r.report("i-2", int64(port), coldFor)
+			}
+			r.syn(port, 0)
+			if port%3 > 0 {
+				r.advance(40 * ms)
+				r.ack(port, "i-1", 5001, 10)
+			}
+			r.advance(5 * ms)
+		}
+		return r.drain()
+	}
+	sent, events := run(func(r *harness) { r.relay.options.Cold = coldstart.Rules{} })
+	otherSent, otherEvents := run(func(r *harness) { r.directory.Configuration().ColdStarts["s"] = catalog.ColdStart{For: coldFor} })
+	require.Equal(t, sent, otherSent)
+	require.Equal(t, events, otherEvents)
+	limitedSent, _ := run(func(*harness) {})
+	require.NotEqual(t, sent, limitedSent, "the limit matters in this run")
+}
+
+// TestColdChoiceAllocatesNothing: a choice among cold endpoints allocates nothing.
+func TestColdChoiceAllocatesNothing(t *testing.T) {
+	r := limitedHarness(t, 100, "other")
+	r.report("i-7", 1, coldFor)
+	sv := r.relay.services["s"]
+	require.Len(t, r.relay.candidates(r.now, sv), 99)
+	require.Zero(t, testing.AllocsPerRun(100, func() { r.relay.candidates(r.now, sv) }))
+}
--- a/internal/relay/dump.go
+++ b/internal/relay/dump.go
@@ -41,9 +41,12 @@
 	Draining bool
 	// Evacuated is set while its failure domain is evacuated.
 	Evacuated bool
-	// Cold is set while the endpoint is cold after its start or an evacuation.
-	Cold    bool
-	Suspect bool
+	// Cold is set while the endpoint is cold after its start or an evacuation, or counts as
+	// cold since it did not answer SYNs. ColdOwner is the name of the host that may then
+	// send it flows; empty if its service has no limit.
+	Cold      bool
+	ColdOwner string
+	Suspect   bool
 	// UnansweredSYNs counts consecutive SYNs without a handshake ACK.
 	UnansweredSYNs int
 	// Open counts the flows at the endpoint, Busy those that wait for an answer.
@@ -98,6 +101,7 @@
 func (r *Relay) Endpoints(now time.Duration) []EndpointState {
 	states := make([]EndpointState, 0, len(r.endpoints))
 	for _, e := range r.endpoints {
+		cold, owner := r.coldInDump(now, e)
 		states = append(states, EndpointState{
 			ID:             e.Entry.ID,
 			Service:        e.Entry.Service,
@@ -105,7 +109,8 @@
 			Listed:         e.Entry.Listed,
 			Draining:       e.Entry.Draining,
 			Evacuated:      r.view.Evacuated(e.Entry.Domain),
-			Cold:           now < e.Entry.WarmAt,
+			Cold:           cold,
+			ColdOwner:      owner,
 			Suspect:        e.Suspect(now),
 			UnansweredSYNs: e.UnansweredSYNs(),
 			Open:           e.Open,
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -36,11 +36,15 @@
 	// DropEvacuated: a SYN had no handshake ACK, its endpoint's domain was evacuated since,
 	// and no other endpoint takes it. The flow may have opened there, so it is not reset.
 	DropEvacuated
+	// DropCold: a copy of a SYN without a handshake ACK can only go to an endpoint that is
+	// cold and not allowed at this host. The flow may have opened there, so it is not reset.
+	DropCold
 	dropReasons
 )
 
 var dropNames = [dropReasons]string{
 	"looped", "no_configuration", "no_token", "unknown_endpoint", "foreign_service", "no_route", "ended", "lagging", "moved", "evacuated",
+	"cold",
 }
 
 // String returns the reason's name in logs and metrics.
@@ -63,11 +67,14 @@
 	// RejectRouteRemoved: a packet with data arrived for an open or unknown flow
 	// whose address has no route any more.
 	RejectRouteRemoved
+	// RejectCold: all endpoints that are left are cold, and this host may not send the flow
+	// to any of them.
+	RejectCold
 	rejections
 )
 
 var rejectionNames = [rejections]string{
-	"no_route", "no_endpoint", "overload", "dead_endpoint", "route_removed",
+	"no_route", "no_endpoint", "overload", "dead_endpoint", "route_removed", "cold",
 }
 
 // String returns the reason's name in logs and metrics.
@@ -153,6 +160,10 @@
 	// Diverted counts new flows of services some of whose endpoints were left out since
 	// their failure domain is evacuated.
 	Diverted int64
+	// PlacedCold counts the SYNs sent to cold endpoints of services with a limit,
+	// PresumedCold the times that one counted as cold since it did not answer SYNs.
+	PlacedCold   int64
+	PresumedCold int64
 	// TakenOver counts flows added by a packet after their SYN.
 	TakenOver int64
 	// Contested counts packets that name another endpoint than their flow's.
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -57,6 +57,7 @@
 	if late := r.endpoints[s.Token]; late != nil && late.RecordAlive(now) {
 		r.service(late.Entry.Service).observed.RecordRecovery()
 		r.options.Observer.Recovered(now, late)
+		r.endSilence(now, r.service(late.Entry.Service), late, r.flows[s.Flow])
 	}
 }
 
@@ -140,6 +141,9 @@
 		return
 	}
 	for i, e := range f.tried[:min(f.timedOutTries, f.tries)] {
+		if e != f.endpoint {
+			r.recordSilence(now, f, i)
+		}
 		if e != f.endpoint && e.RecordFailover(f.triedAt[i]) {
 			r.resetWaitingFlows(now, e)
 		}
@@ -152,6 +156,7 @@
 	if f.endpoint.RecordAlive(now) {
 		f.service.observed.RecordRecovery()
 		r.options.Observer.Recovered(now, f.endpoint)
+		r.endSilence(now, f.service, f.endpoint, f)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
+	"toucangap/internal/coldstart"
 	"toucangap/internal/outlier"
 	"toucangap/internal/segment"
 )
@@ -40,6 +41,8 @@
 	Observer     Observer
 	// Hosts returns the number of hosts that share the endpoints; nil means one.
 	Hosts func() int
+	// Cold limits flows to cold endpoints. Without a function Hosts nothing is limited.
+	Cold coldstart.Rules
 	// Choose picks endpoints for new flows; nil means balance.Choose.
 	// Experiments set others as baselines.
 	Choose func(balance.Request, *balance.Service, []*balance.Endpoint) balance.Choice
@@ -112,6 +115,8 @@
 	held     []*flow
 	// releases counts the held flows that were forwarded.
 	releases int
+	// cold limits the flows to cold endpoints; nil if the service has no limit.
+	cold *coldService
 }
 
 // New returns a Relay without a view, started at the given time.
@@ -137,6 +142,7 @@
 	r.history.update(now, v)
 	r.updateEndpoints(v)
 	r.updateServices(v)
+	r.updateCold(now, v)
 	for route := range r.sizes {
 		if v.Route(route) == nil {
 			delete(r.sizes, route)
@@ -236,6 +242,7 @@
 		s.window = balance.NewWindow(now)
 	}
 	r.handshakeTimeout = newHandshakeTimeout()
+	r.forgetSilence()
 	for _, f := range r.flows {
 		switch f.state {
 		case stateOpening:
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -57,6 +57,9 @@
 		r.place(now, route, s, frame)
 		return
 	}
+	for n := range f.timedOutTries {
+		r.recordSilence(now, f, n)
+	}
 	r.failOver(now, f, s.Retransmissions(), frame)
 }
 
@@ -69,14 +72,14 @@
 // place forwards the SYN of a new flow, holds it, or rejects it.
 func (r *Relay) place(now time.Duration, route *catalog.Route, s segment.Segment, frame []byte) {
 	sv := r.serviceFor(route, s.Flow.Hash())
-	if len(sv.candidates) == 0 {
+	if len(r.candidates(now, sv)) == 0 {
 		if r.lagging {
 			r.drop(now, s.Flow, DropLagging)
 			return
 		}
 		p := r.placement(s.Flow, route.Name, sv.name)
 		p.Retransmissions = s.Retransmissions()
-		r.reject(now, p, s.Acknowledgement, RejectNoEndpoint)
+		r.reject(now, p, s.Acknowledgement, sv.noCandidate())
 		return
 	}
 	f := r.newFlow(now, s.Flow)
@@ -101,9 +104,15 @@
 	p := r.placement(f.key, f.route, f.service.name)
 	p.Retransmissions = f.retransmissions
 	p.Waited = now - f.startedAt
+	candidates := r.candidates(now, f.service)
+	if len(candidates) == 0 {
+		r.removeFlow(f)
+		r.reject(now, p, 0, RejectCold)
+		return
+	}
 	p.Choice = r.options.Choose(balance.Request{
 		Now: now, Hash: f.key.Hash(), Domain: r.options.Domain, FailureCost: f.timeout,
-	}, &f.service.observed, f.service.candidates)
+	}, &f.service.observed, candidates)
 	p.Endpoint = p.Choice.Endpoint.Entry
 	if !r.options.Disabled.Admission && !r.lagging && !balance.Admit(route, p.Choice) {
 		r.removeFlow(f)
@@ -144,6 +153,7 @@
 	f.tries++
 	f.attach(e)
 	f.sentAt = now
+	r.recordColdFlow(now, f.service, e)
 	r.schedule(f, now+r.handshakeTimeout.current())
 	r.forward(e.Entry, frame)
 }
@@ -161,12 +171,16 @@
 			Domain:      r.options.Domain,
 			FailureCost: f.timeout,
 			Tried:       f.triedEndpoints(),
-		}, &f.service.observed, f.service.candidates)
+		}, &f.service.observed, r.candidates(now, f.service))
 	}
 	if p.Choice.Endpoint == nil && r.leftDomain(f) {
 		r.drop(now, f.key, DropEvacuated)
 		return
 	}
+	if p.Choice.Endpoint == nil && !r.mayRepeat(now, f) {
+		r.drop(now, f.key, DropCold)
+		return
+	}
 	if p.Choice.Endpoint == nil {
 		f.sentAt = now
 		r.forward(f.endpoint.Entry, frame)
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"toucangap/internal/catalog"
+	"toucangap/internal/coldstart"
 	"toucangap/internal/follow"
 )
 
@@ -28,6 +29,8 @@
 	restores atomic.Int64
 	// hostCount is the number of registered hosts.
 	hostCount atomic.Int64
+	// registrations holds the registered hosts, nil before the first is known.
+	registrations atomic.Pointer[coldstart.Hosts]
 	// changeAges samples the age of the source's state, in milliseconds, when changes
 	// are applied: they are late by no more than that.
 	changeAges metrics.Histogram
@@ -99,6 +102,9 @@
 		changed := c.replica.Apply(c.clock.Monotonic(), b)
 		c.restores.Store(c.replica.Restores())
 		c.hostCount.Store(int64(c.replica.HostCount()))
+		if hosts := c.replica.Registrations(c.clock.Monotonic()); hosts != nil {
+			c.registrations.Store(hosts)
+		}
 		asOf := c.replica.AsOf()
 		c.asOf.Store(int64(asOf))
 		if len(b.Changes) > 0 && !b.Partial {
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -69,6 +70,8 @@
 	set("flows_held", s.Held)
 	set("flows_diverted", s.Diverted)
 	set("flows_sent_on", s.FailedOver)
+	set("flows_to_cold_endpoints", s.PlacedCold)
+	set("endpoints_presumed_cold", s.PresumedCold)
 	set("flows_adopted", s.TakenOver)
 	set("flows_evicted", s.Evicted)
 	set("first_packets_repeated", s.RetransmittedSYNs)
@@ -81,3 +84,11 @@
 		set("flows_reset_"+relay.Rejection(reason).String(), n)
 	}
 }
+
+// updateColdGauges publishes how many endpoints of services with a limit are cold, and how
+// many of those this host owns.
+func updateColdGauges(registry metrics.Registry, r *relay.Relay, now time.Duration) {
+	cold, owned := r.ColdEndpoints(now)
+	metrics.GetOrRegisterGauge("endpoints_cold", registry).Update(cold)
+	metrics.GetOrRegisterGauge("endpoints_cold_owned", registry).Update(owned)
+}
--- a/internal/relayd/queries.go
+++ b/internal/relayd/queries.go
@@ -120,6 +120,7 @@
 		State:           state,
 		Flows:           e.Open,
 		Requests:        e.Busy,
+		ColdOwner:       e.ColdOwner,
 		UnansweredFlows: int64(e.UnansweredSYNs),
 	}
 }
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"toucangap/internal/admin"
+	"toucangap/internal/coldstart"
 	"toucangap/internal/event"
 	"toucangap/internal/feed"
 	"toucangap/internal/follow"
@@ -112,6 +113,13 @@
 		Output:       d.traffic,
 		Observer:     d.traffic.observer,
 		Hosts:        func() int { return int(d.control.hostCount.Load()) },
+		Cold: coldstart.Rules{
+			Host:       coldstart.Host{Name: d.settings.Name, Domain: d.settings.Domain},
+			Hosts:      d.control.registrations.Load,
+			ViewAge:    d.control.age,
+			MaxViewAge: d.timings.MaxAge,
+			Bounds:     coldstart.Bounds{Factor: d.settings.Bounds.ColdFactor, Allowance: d.settings.Bounds.ColdAllowance},
+		},
 	}, d.clock.Monotonic())
 	d.control.onPublish = d.traffic.wake
 	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, aggregator: outlier.NewAggregator()}
@@ -140,6 +148,7 @@
 	d.traffic.do(func() {
 		stats := d.traffic.relay.Stats()
 		updateRelayGauges(d.registry, &stats)
+		updateColdGauges(d.registry, d.traffic.relay, d.clock.Monotonic())
 	})
 }
 
