--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -139,11 +139,12 @@
 // explainDecision sets the outcome for a new flow; see Relay.place.
 func (r *Relay) explainDecision(now time.Duration, x *Explanation, f *flow, route *catalog.Route) {
 	sv := f.service
+	candidates := len(r.candidates(now, sv))
 	switch {
-	case len(sv.candidates) == 0 && r.lagging:
+	case candidates == 0 && r.lagging:
 		x.decide(OutcomeDropped, DropLagging.String())
-	case len(sv.candidates) == 0:
-		x.decide(OutcomeRefused, RejectNoEndpoint.String())
+	case candidates == 0:
+		x.decide(OutcomeRefused, sv.noCandidate().String())
 	case r.mustWait(now, sv):
 		r.explainHold(now, x, f, route)
 	default:
@@ -169,7 +170,7 @@
 
 // explainOpen sets the outcome for a flow that is placed at once; see Relay.open.
 func (r *Relay) explainOpen(now time.Duration, x *Explanation, f *flow, route *catalog.Route) {
-	c := balance.Preview(r.request(now, f), &f.service.observed, f.service.candidates)
+	c := balance.Preview(r.request(now, f), &f.service.observed, r.candidates(now, f.service))
 	if !r.admits(route, c) {
 		x.decide(OutcomeRefused, RejectOverload.String())
 		return
@@ -188,8 +189,9 @@
 // explainCandidates adds the endpoints of the flow's service.
 func (r *Relay) explainCandidates(now time.Duration, x *Explanation, f *flow, limit int) {
 	sv := f.service
-	available := make(map[*balance.Endpoint]bool, len(sv.candidates))
-	for _, e := range sv.candidates {
+	candidates := r.candidates(now, sv)
+	available := make(map[*balance.Endpoint]bool, len(candidates))
+	for _, e := range candidates {
 		available[e] = true
 	}
 	var others []*balance.Endpoint
@@ -199,7 +201,7 @@
 		}
 	}
 	request := r.request(now, f)
-	ranks := balance.Ranking(request, &sv.observed, sv.candidates)
+	ranks := balance.Ranking(request, &sv.observed, candidates)
 	ranks = append(ranks, balance.Ranking(request, &sv.observed, others)...)
 	x.CandidateCount = len(ranks)
 	for i := range ranks[:min(limit, len(ranks))] {
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -53,8 +53,8 @@
 	return s
 }
 
-// step is a random event.
-type step struct {
+// action is a random event.
+type action struct {
 	kind  string
 	n     int
 	port  uint16
@@ -66,8 +66,8 @@
 	"evacuate", "end evacuation", "fail", "report", "lag", "resume", "hosts", "configure", "remove route", "stop holding",
 }
 
-func drawStep(t *rapid.T) step {
-	return step{
+func drawStep(t *rapid.T) action {
+	return action{
 		kind:  rapid.SampledFrom(stepKinds).Draw(t, "kind"),
 		n:     rapid.IntRange(0, 5).Draw(t, "n"),
 		port:  uint16(rapid.IntRange(0, 40).Draw(t, "port")),
@@ -84,7 +84,7 @@
 }
 
 // apply makes an event other than a SYN happen.
-func (s *site) apply(e step) {
+func (s *site) apply(e action) {
 	id, domain := fmt.Sprintf("i-%d", e.n), []string{"d", "far"}[e.n%2]
 	known := s.relay.endpoints[catalog.TokenOf(id)]
 	switch e.kind {
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -25,6 +25,9 @@
 	ReasonTrial Reason = "trial"
 	// ReasonCold: it has just started, or its failure domain's evacuation has ended.
 	ReasonCold Reason = "cold"
+	// ReasonColdLimit: it is cold, and this host may send it no flow now: another host
+	// owns it, or its limit is reached.
+	ReasonColdLimit Reason = "cold_limit"
 	// ReasonSlow: it takes longer to answer than its service usually does.
 	ReasonSlow Reason = "slow"
 	// ReasonFailing: it fails more requests than its service.
@@ -59,8 +62,12 @@
 	}},
 	{ReasonSuspect, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Suspect }},
 	{ReasonTrial, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Trial }},
-	{ReasonCold, func(_ *Relay, now time.Duration, _ *service, k *balance.Rank) bool {
-		return now < k.Endpoint.Entry.WarmAt
+	{ReasonCold, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
+		return now < k.Endpoint.Entry.WarmAt || r.coldState(now, sv, k.Endpoint) != nil
+	}},
+	{ReasonColdLimit, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
+		c := r.coldState(now, sv, k.Endpoint)
+		return c != nil && !r.coldAllows(now, sv, c)
 	}},
 	{ReasonSlow, func(_ *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
 		return k.Endpoint.Slowness(now, &sv.observed) > 1
