--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -87,3 +87,40 @@
 	sent, _ := r.drain()
 	require.Equal(t, []string{"i-1", "i-1", "i-far", "i-1"}, sent, "the packets of flow 1, and a held SYN once it was answered")
 }
+
+// TestIsolatedDomainServesItself: an evacuated domain that is cut off from the store and
+// from the other domains refused all its callers, although its endpoints were alive.
+func TestIsolatedDomainServesItself(t *testing.T) {
+	isolated := false
+	r := twoDomains(t)
+	r.relay.options.Isolated = func() bool { return isolated }
+	r.evacuate("d")
+	unanswered := func(port uint16) {
+		r.syn(port, 0)
+		r.now += 300 * ms
+		r.relay.Tick(r.now)
+	}
+	unanswered(1)
+	isolated = true
+	for _, c := range []struct {
+		name     string
+		isolated bool
+		want     string
+	}{
+		{"in contact with the store", false, "i-far"},
+		{"isolated", true, "i-1"},
+		{"in contact again", false, "i-far"},
+	} {
+		r.drain()
+		isolated = c.isolated
+		r.syn(uint16(len(c.name)), 0)
+		sent, _ := r.drain()
+		require.Equal(t, []string{c.want}, sent, c.name)
+	}
+	isolated = true
+	r.ack(uint16(len("in contact again")), "i-far", 5001, 10)
+	r.drain()
+	r.syn(9, 0)
+	sent, _ := r.drain()
+	require.Equal(t, []string{"i-far"}, sent, "the other domain answers")
+}
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -160,6 +160,9 @@
 	// Diverted counts new flows of services some of whose endpoints were left out since
 	// their failure domain is evacuated.
 	Diverted int64
+	// LastResort counts new flows that went to evacuated endpoints, since the host was
+	// isolated with them.
+	LastResort int64
 	// PlacedCold counts the SYNs sent to cold endpoints of services with a limit,
 	// PresumedCold the times that one counted as cold since it did not answer SYNs.
 	PlacedCold   int64
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,6 +41,10 @@
 	Observer     Observer
 	// Hosts returns the number of hosts that share the endpoints; nil means one.
 	Hosts func() int
+	// Isolated reports whether the host has lost contact with the store and with peers that
+	// have it. While it is set and other domains do not answer, new flows may go to
+	// evacuated endpoints of the host's own domain; nil means never.
+	Isolated func() bool
 	// Cold limits flows to cold endpoints. Without a function Hosts nothing is limited.
 	Cold coldstart.Rules
 	// Choose picks endpoints for new flows; nil means balance.Choose.
@@ -108,6 +112,8 @@
 	// evacuated is the number of endpoints left out since their failure domain is
 	// evacuated.
 	evacuated int
+	// evacuatedHome holds those of them in the host's domain.
+	evacuatedHome []*balance.Endpoint
 	// inFlight counts the flows whose request waits at an endpoint; overdue ones do
 	// not count. window limits it, and held are the flows that wait for room.
 	inFlight int
@@ -175,7 +181,8 @@
 
 func (r *Relay) updateServices(v *catalog.View) {
 	for _, s := range r.services {
-		s.candidates, s.slots, s.evacuated = s.candidates[:0], 0, 0
+		s.candidates, s.slots = s.candidates[:0], 0
+		s.evacuated, s.evacuatedHome = 0, s.evacuatedHome[:0]
 	}
 	if v.Configuration == nil {
 		return
@@ -192,7 +199,7 @@
 	}
 	for _, entry := range v.Entries() {
 		if entry.Listed && !entry.Draining && v.Evacuated(entry.Domain) {
-			r.service(entry.Service).evacuated++
+			r.addEvacuated(entry)
 		}
 	}
 }
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -123,7 +123,7 @@
 	r.tryEndpoint(now, f, p.Choice.Endpoint, frame)
 	r.stats.Placed++
 	if f.service.evacuated > 0 {
-		r.stats.Diverted++
+		r.recordEvacuation(p.Choice.Endpoint)
 	}
 	p.Try = f.tries
 	r.options.Observer.Placed(now, p)
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -69,6 +69,7 @@
 	set("flows_placed", s.Placed)
 	set("flows_held", s.Held)
 	set("flows_diverted", s.Diverted)
+	set("flows_to_evacuated_endpoints", s.LastResort)
 	set("flows_sent_on", s.FailedOver)
 	set("flows_to_cold_endpoints", s.PlacedCold)
 	set("endpoints_presumed_cold", s.PresumedCold)
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -107,6 +107,10 @@
 		idleWait:   maxIdleWait,
 		tasks:      make(chan func(), 1),
 	}
+	var isolated func() bool
+	if d.settings.Placement.EvacuatedWhenIsolated {
+		isolated = func() bool { return d.control.age() > d.timings.MaxAge }
+	}
 	d.traffic.relay = relay.New(relay.Options{
 		Domain:       d.settings.Domain,
 		MaxFlows:     maxFlows,
@@ -114,6 +118,7 @@
 		Output:       d.traffic,
 		Observer:     d.traffic.observer,
 		Hosts:        func() int { return int(d.control.hostCount.Load()) },
+		Isolated:     isolated,
 		Cold: coldstart.Rules{
 			Host:       coldstart.Host{Name: d.settings.Name, Domain: d.settings.Domain},
 			Hosts:      d.control.registrations.Load,
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -59,6 +59,9 @@
 	// RouteShares guarantees each route of a service its part of the room at congested
 	// endpoints.
 	RouteShares bool
+	// EvacuatedWhenIsolated lets a host that has lost contact with the store and with other
+	// domains use the endpoints of its own domain although this is evacuated.
+	EvacuatedWhenIsolated bool
 }
 
 // RelayListen holds the addresses of a relay's listeners.
@@ -153,7 +156,11 @@
 	s.LinkMbps = limits.Number("link_mbps", defaultLinkMbps)
 	limits.RejectUnknown()
 	placement := root.Table("placement")
-	s.Placement = RelayPlacement{Spillover: placement.Flag("spillover"), RouteShares: placement.Flag("route_shares")}
+	s.Placement = RelayPlacement{
+		Spillover:             placement.Flag("spillover"),
+		RouteShares:           placement.Flag("route_shares"),
+		EvacuatedWhenIsolated: placement.Flag("evacuated_when_isolated"),
+	}
 	placement.RejectUnknown()
 	root.RejectUnknown()
 	return s
