relay: Take other domains for unreachable by their silence

Cause: whether most endpoints elsewhere left a SYN unanswered takes long to see with few flows a host, since only the first try of a SYN counts. Change: no endpoint elsewhere has shown life for a second, and three left SYNs unanswered.

--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -147,7 +147,7 @@
 // candidates returns the service's endpoints that a new flow may go to now. The result is
 // valid until the next call.
 func (r *Relay) candidates(now time.Duration, sv *service) []*balance.Endpoint {
-	if evacuated := r.lastResort(sv); evacuated != nil {
+	if evacuated := r.lastResort(now, sv); evacuated != nil {
 		return evacuated
 	}
 	if sv.cold == nil || now >= sv.cold.until {
--- a/internal/relay/isolation.go
+++ b/internal/relay/isolation.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
 )
@@ -14,32 +16,38 @@
 	}
 }
 
+const (
+	// isolationSilence is how long no endpoint of the other domains may have shown that it
+	// is alive, and isolationSYNs the number of those that left SYNs unanswered, from which
+	// they count as unreachable. Hosts get answers of a domain many times a second.
+	isolationSilence = time.Second
+	isolationSYNs    = 3
+)
+
 // lastResort returns the evacuated endpoints of the host's domain if a new flow may go
 // there, else nil. It answers a domain that is cut off after it was evacuated: its callers
 // reach only its own hosts, and these only its own endpoints. An evacuation binds hosts in
-// contact with the store; one that has lost it, and whose SYNs to the other domains are
-// unanswered, serves what it can.
-func (r *Relay) lastResort(sv *service) []*balance.Endpoint {
+// contact with the store; one that has lost it, and that no other domain answers, serves
+// what it can.
+func (r *Relay) lastResort(now time.Duration, sv *service) []*balance.Endpoint {
 	if len(sv.evacuatedHome) == 0 || len(sv.candidates) == 0 || r.options.Isolated == nil || !r.options.Isolated() {
 		return nil
 	}
-	if mostlyAnswer(sv.candidates) {
+	unanswered := 0
+	for _, e := range sv.candidates {
+		if e.AliveSince(now - isolationSilence) {
+			return nil
+		}
+		if e.UnansweredSYNs() > 0 {
+			unanswered++
+		}
+	}
+	if unanswered < min(isolationSYNs, len(sv.candidates)) {
 		return nil
 	}
 	return sv.evacuatedHome
 }
 
-// mostlyAnswer reports whether at least half of the endpoints have no unanswered SYN.
-func mostlyAnswer(list []*balance.Endpoint) bool {
-	answering := 0
-	for _, e := range list {
-		if e.UnansweredSYNs() == 0 {
-			answering++
-		}
-	}
-	return answering > 0 && 2*answering >= len(list)
-}
-
 // recordEvacuation counts a new flow of a service with evacuated endpoints.
 func (r *Relay) recordEvacuation(e *balance.Endpoint) {
 	if r.view.Evacuated(e.Entry.Domain) {
