relayd: Probe the store when no other domain answers

Cause: a host took itself for isolated only once its state was older than two thirds of the bound, so that callers of an evacuated domain that is cut off were refused for 3.3 s. Change: when no endpoint elsewhere has shown life for half a second and three left SYNs unanswered, the host asks the store; nothing in half a second means isolated. Refusals and resets mean that it can be reached. Without that evidence no call is made.

--- a/internal/relay/isolation.go
+++ b/internal/relay/isolation.go
@@ -20,7 +20,7 @@
 	// isolationSilence is how long no endpoint of the other domains may have shown that it
 	// is alive, and isolationSYNs the number of those that left SYNs unanswered, from which
 	// they count as unreachable. Hosts get answers of a domain many times a second.
-	isolationSilence = time.Second
+	isolationSilence = 500 * time.Millisecond
 	isolationSYNs    = 3
 )
 
@@ -30,7 +30,7 @@
 // contact with the store; one that has lost it, and that no other domain answers, serves
 // what it can.
 func (r *Relay) lastResort(now time.Duration, sv *service) []*balance.Endpoint {
-	if len(sv.evacuatedHome) == 0 || len(sv.candidates) == 0 || r.options.Isolated == nil || !r.options.Isolated() {
+	if len(sv.evacuatedHome) == 0 || len(sv.candidates) == 0 || r.options.Isolated == nil {
 		return nil
 	}
 	unanswered := 0
@@ -42,7 +42,7 @@
 			unanswered++
 		}
 	}
-	if unanswered < min(isolationSYNs, len(sv.candidates)) {
+	if unanswered < min(isolationSYNs, len(sv.candidates)) || !r.options.Isolated() {
 		return nil
 	}
 	return sv.evacuatedHome
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,9 +41,9 @@
 	Observer     Observer
 	// Hosts returns the number of hosts that share the endpoints; nil means one.
 	Hosts func() int
-	// Isolated reports whether the host has lost contact with the store and with peers that
-	// have it. While it is set and other domains do not answer, new flows may go to
-	// evacuated endpoints of the host's own domain; nil means never.
+	// Isolated reports whether the host has lost contact with the store. It is asked while
+	// no other domain answers: new flows may then go to evacuated endpoints of the host's
+	// own domain. Nil means never.
 	Isolated func() bool
 	// Cold limits flows to cold endpoints. Without a function Hosts nothing is limited.
 	Cold coldstart.Rules
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -57,6 +57,8 @@
 	ready     *readiness
 	registrar *registrar
 	exchange  *exchange
+	// isolation is nil unless the settings ask for it.
+	isolation *isolation
 	registry  metrics.Registry
 
 	readyListener net.Listener
@@ -109,7 +111,8 @@
 	}
 	var isolated func() bool
 	if d.settings.Placement.EvacuatedWhenIsolated {
-		isolated = func() bool { return d.control.age() > d.timings.MaxAge }
+		d.isolation = newIsolation(d.control, d.clock, d.store, d.timings)
+		isolated = d.isolation.isolated
 	}
 	d.traffic.relay = relay.New(relay.Options{
 		Domain:       d.settings.Domain,
@@ -183,6 +186,9 @@
 	start(func() error { return d.traffic.run() })
 	go d.syncer().run(ctx)
 	go d.exchange.run(ctx)
+	if d.isolation != nil {
+		go d.isolation.run(ctx)
+	}
 	d.registrar.start(ctx)
 	<-ctx.Done()
 	d.traffic.stop()
