follow: Make lists of registered hosts only while cold endpoints are limited

Cause: each change of a registration copied the list of hosts, also where no service limits flows to cold endpoints, and removed ones were kept until the next copy. Change: a list is made once a configuration with a limit is in force; removals discard old ones.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -162,6 +162,20 @@
 	PerSecond float64
 }
 
+// LimitsCold reports whether any service limits flows to its cold endpoints. The
+// configuration may be nil.
+func (c *Configuration) LimitsCold() bool {
+	if c == nil {
+		return false
+	}
+	for _, cold := range c.ColdStarts {
+		if cold.PerSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Configuration is a version of the operators' configuration.
 type Configuration struct {
 	Version uint64
--- a/internal/coldstart/gate_test.go
+++ b/internal/coldstart/gate_test.go
@@ -23,14 +23,14 @@
 	r, count := register(10), make(map[Host]int)
 	r.Put(0, Host{Name: "far", Domain: "b"})
 	for i := range 3000 {
-		count[r.Snapshot(0).ownership(0, time.Second, fmt.Sprint("i-", i), "a").owner]++
+		count[r.Snapshot().ownership(0, time.Second, fmt.Sprint("i-", i), "a").owner]++
 	}
 	require.Len(t, count, 10)
 	for h, n := range count {
 		require.InDelta(t, 300, n, 100, "%v", h)
 	}
-	require.NotZero(t, r.Snapshot(0).ownership(0, time.Second, "i", "empty").owner)
-	require.Zero(t, register(0).Snapshot(0).ownership(0, time.Second, "i", "a").owner)
+	require.NotZero(t, r.Snapshot().ownership(0, time.Second, "i", "empty").owner)
+	require.Zero(t, register(0).Snapshot().ownership(0, time.Second, "i", "a").owner)
 }
 
 // TestThirdOwnerWaits guards against three hosts that act at the same time, by states from
@@ -38,16 +38,16 @@
 func TestThirdOwnerWaits(t *testing.T) {
 	const settle = 3 * time.Second
 	r := register(3)
-	first := r.Snapshot(0).ownership(10*time.Second, settle, "i", "a")
+	first := r.Snapshot().ownership(10*time.Second, settle, "i", "a")
 	require.Equal(t, settle, first.clearAt, "what was before the first state is unknown")
 	r.Remove(10*time.Second, first.owner)
-	second := r.Snapshot(0).ownership(10*time.Second, settle, "i", "a")
+	second := r.Snapshot().ownership(10*time.Second, settle, "i", "a")
 	require.Equal(t, settle, second.clearAt)
 	r.Remove(12*time.Second, second.owner)
-	third := r.Snapshot(0).ownership(12*time.Second, settle, "i", "a")
+	third := r.Snapshot().ownership(12*time.Second, settle, "i", "a")
 	require.Equal(t, 13*time.Second, third.validUntil)
 	require.Greater(t, third.clearAt, third.validUntil)
-	third = r.Snapshot(0).ownership(13*time.Second, settle, "i", "a")
+	third = r.Snapshot().ownership(13*time.Second, settle, "i", "a")
 	require.LessOrEqual(t, third.clearAt, 13*time.Second)
 	require.Len(t, map[Host]bool{first.owner: true, second.owner: true, third.owner: true}, 3)
 }
@@ -56,7 +56,7 @@
 // predecessors, nothing after that, or more than its half within a second at the endpoint,
 // where flows may arrive closer together than they were sent.
 func TestOwnerSendsHalfOfTheLimit(t *testing.T) {
-	hosts, age := register(1).Snapshot(0), time.Duration(0)
+	hosts, age := register(1).Snapshot(), time.Duration(0)
 	rules := Rules{
 		Host: Host{Name: "h-0", Domain: "a"}, MaxViewAge: 2 * time.Second,
 		Hosts: func() *Hosts { return hosts }, ViewAge: func() time.Duration { return age },
--- a/internal/coldstart/hosts.go
+++ b/internal/coldstart/hosts.go
@@ -50,6 +50,9 @@
 	if !r.known {
 		r.known, r.knownSince = true, now
 	}
+	if removed {
+		maps.DeleteFunc(r.records, func(_ Host, c record) bool { return c.removed && now >= c.changedAt+removedRetention })
+	}
 	r.records[h] = record{host: h, hash: xxhash.Sum64String(h.Name), changedAt: now, removed: removed}
 	r.changed = true
 }
@@ -58,9 +61,8 @@
 func (r *Registry) Changed() bool { return r.changed }
 
 // Snapshot returns the current registrations.
-func (r *Registry) Snapshot(now time.Duration) *Hosts {
+func (r *Registry) Snapshot() *Hosts {
 	r.changed = false
-	maps.DeleteFunc(r.records, func(_ Host, c record) bool { return c.removed && now >= c.changedAt+removedRetention })
 	h := &Hosts{knownSince: r.knownSince, byDomain: make(map[string][]record)}
 	for _, c := range r.records {
 		h.byDomain[c.host.Domain] = append(h.byDomain[c.host.Domain], c)
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -131,12 +131,12 @@
 func (h Host) coldstartHost() coldstart.Host { return coldstart.Host{Name: h.Name, Domain: h.Domain} }
 
 // Registrations returns the registered hosts with the times of changes, or nil if there
-// was no change since the last call.
-func (r *Replica) Registrations(now time.Duration) *coldstart.Hosts {
-	if !r.registry.Changed() {
+// was no change since the last call or no service limits flows to cold endpoints.
+func (r *Replica) Registrations() *coldstart.Hosts {
+	if !r.registry.Changed() || !r.directory.Configuration().LimitsCold() {
 		return nil
 	}
-	return r.registry.Snapshot(now)
+	return r.registry.Snapshot()
 }
 
 // HostCount returns the number of registered hosts.
--- a/internal/relay/cold_limit_test.go
+++ b/internal/relay/cold_limit_test.go
@@ -112,7 +112,7 @@
 			}
 		}
 		if registry.Changed() {
-			hosts := registry.Snapshot(now)
+			hosts := registry.Snapshot()
 			r.relay.options.Cold.Hosts = func() *coldstart.Hosts { return hosts }
 		}
 		r.relay.options.Cold.ViewAge = func() time.Duration { return now - asOf }
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -21,7 +21,7 @@
 	r := newHarness(t, n)
 	var registry coldstart.Registry
 	registry.Put(0, coldstart.Host{Name: owner, Domain: "d"})
-	hosts := registry.Snapshot(0)
+	hosts := registry.Snapshot()
 	r.relay.options.Cold = coldstart.Rules{
 		Host: coldstart.Host{Name: "self", Domain: "d"}, Hosts: func() *coldstart.Hosts { return hosts },
 		ViewAge: func() time.Duration { return 0 }, MaxViewAge: 2 * time.Second, Bounds: coldstart.Bounds{Factor: 1, Allowance: 1},
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -102,7 +102,7 @@
 		changed := c.replica.Apply(c.clock.Monotonic(), b)
 		c.restores.Store(c.replica.Restores())
 		c.hostCount.Store(int64(c.replica.HostCount()))
-		if hosts := c.replica.Registrations(c.clock.Monotonic()); hosts != nil {
+		if hosts := c.replica.Registrations(); hosts != nil {
 			c.registrations.Store(hosts)
 		}
 		asOf := c.replica.AsOf()
