relay: Report endpoints that are presumed cold

Cause: a flow that was refused since endpoints are cold could not be explained where they counted as cold by what the host had observed; only a counter told of it. Change: event 8020 names the endpoint and for how long; observers get a method for it.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -24,6 +24,7 @@
 	EndpointNoLongerFailing
 	HostLagging
 	HostNotLagging
+	EndpointPresumedCold
 )
 
 var relayArea = Area{
@@ -49,6 +50,7 @@
 		{EndpointNoLongerFailing, slog.LevelInfo, "endpoint is no longer failing requests", "None."},
 		{HostLagging, slog.LevelWarn, "host is lagging: packets wait in its socket for too long", "Check the host's CPU load; routers stop using the host while it does not answer them."},
 		{HostNotLagging, slog.LevelInfo, "host is no longer lagging", "None."},
+		{EndpointPresumedCold, slog.LevelInfo, "endpoint may have restarted; counts as cold", "None after a restart; otherwise SYNs are lost, see event 8001 of the same endpoint."},
 	},
 }
 
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -211,6 +211,7 @@
 	if !c.silent {
 		c.silent, c.silentSince = true, f.triedAt[n]
 		r.stats.PresumedCold++
+		r.options.Observer.PresumedCold(now, e, silenceTimeout, false)
 	}
 	c.silentSince = min(c.silentSince, f.triedAt[n])
 	c.silentAt, c.silentEntry = now, e.Entry
@@ -235,6 +236,7 @@
 	}
 	c.silentAt, c.silentEntry = now, c.entry
 	sv.cold.presume(c, now+sv.cold.start.For)
+	r.options.Observer.PresumedCold(now, e, sv.cold.start.For, true)
 }
 
 // sentTo returns when the flow's SYN was sent to an endpoint or, if that is unknown, when
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -88,6 +88,10 @@
 
 func (r *harness) Recovered(time.Duration, *balance.Endpoint) { r.addEvent("recovered") }
 
+func (r *harness) PresumedCold(time.Duration, *balance.Endpoint, time.Duration, bool) {
+	r.addEvent("presumed cold")
+}
+
 func (r *harness) FailingChanged(_ time.Duration, _ *balance.Endpoint, failing bool, _ float64) {
 	r.addEvent(fmt.Sprint("failing ", failing))
 }
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -136,6 +136,10 @@
 	Suspected(now time.Duration, f catalog.Flow, e *balance.Endpoint, waited time.Duration)
 	// Recovered: an endpoint with unanswered SYNs has shown that it is alive.
 	Recovered(now time.Duration, e *balance.Endpoint)
+	// PresumedCold: an endpoint counts as cold for a span, unless a later entry says
+	// otherwise, since it did not answer a SYN whose caller was waiting, or responds again
+	// after that.
+	PresumedCold(now time.Duration, e *balance.Endpoint, span time.Duration, responds bool)
 	// FailingChanged: an endpoint began or ceased to fail requests; share is its
 	// ExcessFailureShare.
 	FailingChanged(now time.Duration, e *balance.Endpoint, failing bool, share float64)
--- a/internal/relay/stability_test.go
+++ b/internal/relay/stability_test.go
@@ -83,6 +83,8 @@
 
 func (discard) Recovered(time.Duration, *balance.Endpoint) {}
 
+func (discard) PresumedCold(time.Duration, *balance.Endpoint, time.Duration, bool) {}
+
 func newDiscardHarness(t testing.TB) *harness {
 	r := newHarness(t, 14)
 	d := discard{r}
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -176,6 +176,14 @@
 	}
 }
 
+// PresumedCold implements relay.Observer.
+func (o *observer) PresumedCold(now time.Duration, e *balance.Endpoint, span time.Duration, responds bool) {
+	if o.allows(now, o.noteworthy) {
+		event.Log(o.logger, event.EndpointPresumedCold, slog.String("endpoint", e.Entry.ID),
+			slog.Duration("span", span), slog.Bool("responds", responds))
+	}
+}
+
 // FailingChanged implements relay.Observer.
 func (o *observer) FailingChanged(now time.Duration, e *balance.Endpoint, failing bool, share float64) {
 	if !o.allows(now, o.noteworthy) {
--- a/standin/emu/host.go
+++ b/standin/emu/host.go
@@ -328,6 +328,7 @@
 }
 func (NopObserver) Suspected(time.Duration, catalog.Flow, *balance.Endpoint, time.Duration) {}
 func (NopObserver) Recovered(time.Duration, *balance.Endpoint)                              {}
+func (NopObserver) PresumedCold(time.Duration, *balance.Endpoint, time.Duration, bool)      {}
 func (NopObserver) FailingChanged(time.Duration, *balance.Endpoint, bool, float64)          {}
 func (NopObserver) Accepted(time.Duration)                                                  {}
 func (NopObserver) Answered(time.Duration)                                                  {}
