balance, relay: Margin for random variation in the window's limit

Cause: the limit of a host at congested endpoints is its share m of the service's slots, times 1.4. With 71 hosts and 240 slots, m is 3.4: by chance alone a host has more than that a tenth of the time and holds SYNs while slots that are counted to other hosts are free.

Change: balance.LimitWithMargin, m + 2 sqrt(m (1 - 1/hosts)). A single host has no margin, since no other host's slots are free.

--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -43,25 +43,31 @@
 	return next < len(synTimes) && now > f.waiter.Since+synTimes[next]+copyDelay
 }
 
-// slotShare returns the host's share of a service's slots.
-func (r *Relay) slotShare(sv *service) float64 {
-	hosts := 1
-	if r.options.Hosts != nil {
-		hosts = max(1, r.options.Hosts())
+// hosts returns the number of hosts that share the endpoints.
+func (r *Relay) hosts() int {
+	if r.options.Hosts == nil {
+		return 1
 	}
-	return float64(sv.slots) / float64(hosts)
+	return max(1, r.options.Hosts())
 }
 
+// slotShare returns the host's share of a service's slots.
+func (r *Relay) slotShare(sv *service) float64 { return float64(sv.slots) / float64(r.hosts()) }
+
 // fairLimit returns how many requests of a service the host may always let wait for
 // answers: its share of the slots, with as many waiting requests as keep them in use.
-// A request takes no slot during the round trips of its handshake and its answer.
+// The margin for random variation and slotAllowance are not added up: both answer that
+// requests are spread at random, one over the hosts, the other over the endpoints. A
+// request takes no slot during the round trips of its handshake and its answer.
 func (r *Relay) fairLimit(sv *service) float64 {
 	answer := float64(sv.observed.UsualAnswerTime())
 	roundTrip := answer / unknownRoundTrip
 	if r.handshakeTimeout.roundTrip() > 0 && sv.observed.Measured() {
 		roundTrip = min(float64(r.handshakeTimeout.roundTrip()), answer/2)
 	}
-	return r.slotShare(sv) * slotAllowance * (answer + roundTrip) / (answer - roundTrip)
+	share := r.slotShare(sv)
+	limit := max(share*slotAllowance, balance.LimitWithMargin(share, r.hosts()))
+	return limit * (answer + roundTrip) / (answer - roundTrip)
 }
 
 // mustWait reports whether a new flow of the service has to wait at this host.
