relay, relayd: Release held flows by the routes' shares

Cause: while the window of a service is closed, held SYNs of all routes wait in one order, so that a burst on one route delays and rejects those of the others.

Change: with [placement] route_shares, package fairshare selects the route whose flow is released next or rejected; within a route the order is as before.

Result: go test ./internal/relay passes unchanged with the switch off.

--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -104,6 +104,10 @@
 	// its SYN's copies before the last one.
 	waiter          balance.Waiter
 	retransmissions uint32
+	// slot is that of the held flow's route in its service's shares; counts are those of
+	// the route.
+	slot   int
+	counts *RouteCounts
 	// takenOver is set if the flow was added by a packet after its SYN: another host
 	// forwarded the SYN, or this host has removed the flow since.
 	takenOver bool
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -92,6 +92,7 @@
 	sv.held = append(sv.held, f)
 	r.heldFlows++
 	r.stats.Held++
+	r.addToShares(f, route)
 	r.schedule(f, f.waiter.Until)
 	if last := sv.held[sv.last(now)]; len(sv.held) > maxHeld || now+r.queueTime(sv) > last.waiter.Until {
 		r.rejectHeld(now, last)
@@ -112,11 +113,13 @@
 }
 
 // next returns the position of the flow to forward next: the first in the order or, once
-// in lateShare releases, the first of those that are late.
+// in lateShare releases, the first of those that are late. With shares, it is a flow of the
+// route that is released next.
 func (sv *service) next(now time.Duration) int {
 	takes := sv.observed.UsualAnswerTime()
-	lateFirst := sv.releases%lateShare == lateShare-1
-	return sv.extreme(func(a, b *flow) bool {
+	route, releases := sv.nextRoute()
+	lateFirst := releases%lateShare == lateShare-1
+	return sv.extreme(route, func(a, b *flow) bool {
 		if in := a.waiter.InTarget(now, takes); lateFirst && in != b.waiter.InTarget(now, takes) {
 			return !in
 		}
@@ -124,16 +127,20 @@
 	})
 }
 
-// last returns the position of the last flow in the order.
+// last returns the position of the last flow in the order. With shares, it is a flow of the
+// route that is furthest above its share.
 func (sv *service) last(now time.Duration) int {
-	return sv.extreme(func(a, b *flow) bool { return b.waiter.Before(&a.waiter, now, sv.observed.UsualAnswerTime()) })
+	return sv.extreme(sv.routeAboveShare(), func(a, b *flow) bool {
+		return b.waiter.Before(&a.waiter, now, sv.observed.UsualAnswerTime())
+	})
 }
 
-// extreme returns the position of the held flow that precedes all others.
-func (sv *service) extreme(precedes func(a, b *flow) bool) int {
-	best := 0
-	for i := range sv.held {
-		if precedes(sv.held[i], sv.held[best]) {
+// extreme returns the position of the held flow that precedes all others, of one route or
+// of allRoutes.
+func (sv *service) extreme(route int, precedes func(a, b *flow) bool) int {
+	best := -1
+	for i, f := range sv.held {
+		if (route == allRoutes || f.slot == route) && (best < 0 || precedes(f, sv.held[best])) {
 			best = i
 		}
 	}
@@ -145,6 +152,7 @@
 	if i := slices.Index(sv.held, f); i >= 0 {
 		sv.held = slices.Delete(sv.held, i, i+1)
 		r.heldFlows--
+		sv.removeFromShares(f)
 	}
 }
 
@@ -173,6 +181,7 @@
 		r.dropMoved(now, f)
 		return
 	}
+	f.service.chargeRelease(f)
 	r.removeHeld(f)
 	route := r.view.Route(f.key.Destination)
 	if route != nil {
@@ -186,7 +195,9 @@
 		r.rejectFlow(now, f, reason)
 		return
 	}
+	counts, placed := f.counts, r.stats.Placed
 	r.open(now, f, route, f.synFrame[:f.synLength])
+	counts.addOutcome(r.stats.Placed > placed)
 }
 
 // handleHoldTimeout rejects a held flow whose caller's attempt is about to end: the
@@ -213,6 +224,7 @@
 func (r *Relay) rejectFlow(now time.Duration, f *flow, reason Rejection) {
 	p := r.placement(f.key, f.route, f.service.name)
 	p.Retransmissions, p.Waited = f.retransmissions, now-f.startedAt
+	f.counts.addOutcome(false)
 	f.state = stateOpening
 	r.removeFlow(f)
 	r.reject(now, p, 0, reason)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
+	"toucangap/internal/fairshare"
 	"toucangap/internal/outlier"
 	"toucangap/internal/segment"
 )
@@ -40,6 +41,8 @@
 	Observer     Observer
 	// Hosts returns the number of hosts that share the endpoints; nil means one.
 	Hosts func() int
+	// RouteShares divides the room at congested endpoints among the routes of a service.
+	RouteShares bool
 	// Choose picks endpoints for new flows; nil means balance.Choose.
 	// Experiments set others as baselines.
 	Choose func(balance.Request, *balance.Service, []*balance.Endpoint) balance.Choice
@@ -87,7 +90,9 @@
 	// draining is set once the host is about to exit, so that it holds nothing.
 	draining bool
 	// heldFlows is the number of held flows of all services.
-	heldFlows        int
+	heldFlows int
+	// routeCounts counts held flows by name of the route.
+	routeCounts      map[string]*RouteCounts
 	flows            map[catalog.Flow]*flow
 	timers           timerHeap
 	freeFlows        []*flow
@@ -112,6 +117,9 @@
 	held     []*flow
 	// releases counts the held flows that were forwarded.
 	releases int
+	// shares divides the releases among the held flows' routes; nil means that they go
+	// by the order of all held flows.
+	shares *fairshare.Shares
 }
 
 // New returns a Relay without a view, started at the given time.
@@ -126,6 +134,7 @@
 		services:         make(map[string]*service),
 		history:          newHistory(now, o.FlowLifetime),
 		sizes:            make(map[catalog.Address]*balance.AnswerSizes),
+		routeCounts:      make(map[string]*RouteCounts),
 		flows:            make(map[catalog.Flow]*flow),
 		handshakeTimeout: newHandshakeTimeout(),
 	}
@@ -196,6 +205,9 @@
 	s := r.services[name]
 	if s == nil {
 		s = &service{name: name, window: balance.NewWindow(r.started)}
+		if r.options.RouteShares {
+			s.shares = &fairshare.Shares{}
+		}
 		r.services[name] = s
 	}
 	return s
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -81,3 +81,12 @@
 		set("flows_reset_"+relay.Rejection(reason).String(), n)
 	}
 }
+
+// updateRouteGauges publishes the counts of held flows by route.
+func updateRouteGauges(registry metrics.Registry, routes []relay.RouteCounts) {
+	for _, c := range routes {
+		metrics.GetOrRegisterGauge("flows_held_route_"+c.Route, registry).Update(c.Held)
+		metrics.GetOrRegisterGauge("flows_released_route_"+c.Route, registry).Update(c.Released)
+		metrics.GetOrRegisterGauge("flows_rejected_route_"+c.Route, registry).Update(c.Rejected)
+	}
+}
--- a/internal/relayd/queries.go
+++ b/internal/relayd/queries.go
@@ -74,6 +74,11 @@
 	dump.Totals["placed"] = stats.Placed
 	dump.Totals["sent_on"] = stats.FailedOver
 	dump.Totals["adopted"] = stats.TakenOver
+	for _, c := range r.RouteCounts() {
+		dump.Totals["held_route_"+c.Route] = c.Held
+		dump.Totals["released_route_"+c.Route] = c.Released
+		dump.Totals["rejected_route_"+c.Route] = c.Rejected
+	}
 	dump.FlowsHeld = int(stats.Flows)
 	dump.Truncated = len(flows) < dump.FlowsHeld
 	services := make(map[string]int)
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -112,6 +112,7 @@
 		Output:       d.traffic,
 		Observer:     d.traffic.observer,
 		Hosts:        func() int { return int(d.control.hostCount.Load()) },
+		RouteShares:  d.settings.Placement.RouteShares,
 	}, d.clock.Monotonic())
 	d.control.onPublish = d.traffic.wake
 	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, aggregator: outlier.NewAggregator()}
@@ -140,6 +141,7 @@
 	d.traffic.do(func() {
 		stats := d.traffic.relay.Stats()
 		updateRelayGauges(d.registry, &stats)
+		updateRouteGauges(d.registry, d.traffic.relay.RouteCounts())
 	})
 }
 
