balance, relay: With route shares, the window notices gradual congestion

Cause: the window's uncongested answer time follows all answers that do not count as congested.

Change: balance.Window.SteadyBase bounds the rise of that time to a factor of e in 30 s; a lower time is learned as fast as before. It is set with route_shares only, so that nothing changes without it.

--- a/internal/balance/window.go
+++ b/internal/balance/window.go
@@ -29,6 +29,10 @@
 	// limit is at its lowest: then it is not this host's requests that wait. It takes
 	// longer than a surge.
 	baseDrift = 0.005
+	// baseRiseTime bounds the rise of the uncongested time if SteadyBase is set, to a
+	// factor of e in this time. It exceeds bursts by several times, so that their queues
+	// are not taken for the usual time, and slower work is still learned.
+	baseRiseTime = 30 * time.Second
 	// openAfter is how long no limit may have been needed until the window opens.
 	openAfter = time.Second
 )
@@ -46,6 +50,10 @@
 // It follows concurrency limits by measured delay (Jain 1989; TCP Vegas, Brakmo and
 // Peterson 1995).
 type Window struct {
+	// SteadyBase bounds how fast the uncongested time rises. Without it, a queue that
+	// builds up gradually, at a load slightly above the capacity, raises that time
+	// along with the answers, so that none counts as congested and there is no limit.
+	SteadyBase bool
 	// closed is set while there is a limit.
 	closed bool
 	limit  float64
@@ -55,6 +63,8 @@
 	// firstAnswers.
 	base    float64
 	samples int
+	// answeredAt is when the last answer was recorded.
+	answeredAt time.Duration
 	// congested is the moving share of congested answers, shrunk is set once there
 	// was one.
 	congested float64
@@ -85,6 +95,8 @@
 // RecordAnswer records the time to a request's answer, which was not an error, and
 // the target of its route.
 func (w *Window) RecordAnswer(now, took, target time.Duration, inFlight int, share float64) {
+	before, since := w.base, now-w.answeredAt
+	w.answeredAt = now
 	if w.samples < firstAnswers {
 		w.samples++
 		w.base += (float64(took) - w.base) / float64(w.samples)
@@ -114,6 +126,9 @@
 	if !congested {
 		w.base += serviceSmoothing * (float64(took) - w.base)
 	}
+	if w.SteadyBase {
+		w.base = min(w.base, before*(1+float64(since)/float64(baseRiseTime)))
+	}
 }
 
 func (w *Window) growth() float64 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -204,7 +204,7 @@
 func (r *Relay) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name, window: balance.NewWindow(r.started)}
+		s = &service{name: name, window: r.newWindow(r.started)}
 		if r.options.RouteShares {
 			s.shares = &fairshare.Shares{}
 		}
@@ -245,7 +245,7 @@
 	}
 	for _, s := range r.services {
 		s.observed = balance.Service{}
-		s.window = balance.NewWindow(now)
+		s.window = r.newWindow(now)
 	}
 	r.handshakeTimeout = newHandshakeTimeout()
 	for _, f := range r.flows {
--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
+	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
 )
 
@@ -56,6 +58,14 @@
 	return c
 }
 
+// newWindow returns the window of a service. Shares are divided only while it is closed, so
+// with RouteShares it has to notice moderate overload, too.
+func (r *Relay) newWindow(now time.Duration) balance.Window {
+	w := balance.NewWindow(now)
+	w.SteadyBase = r.options.RouteShares
+	return w
+}
+
 // addToShares adds a flow that is held from now on.
 func (r *Relay) addToShares(f *flow, route *catalog.Route) {
 	f.counts = r.countsOf(route.Name)
