fairshare: Routes below their share save up eight releases

Cause: with plain deficit round robin a route without anything waiting has no credit.

Change: rounds give credit to routes without anything waiting, too, up to eight releases. What they do not use still goes to the others at once. Slots without anything waiting are reused from 64 routes on.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -3,17 +3,25 @@
 // queue can't be served in time. It is pure and counts in whole numbers.
 package fairshare
 
-// maxPriority limits the ratio of two weights to 1:256, so that a route of any priority
-// is released again within a bounded number of releases.
-const maxPriority = 8
+const (
+	// maxPriority limits the ratio of two weights to 1:256, so that a route of any
+	// priority is released again within a bounded number of releases.
+	maxPriority = 8
+	// savedReleases is how many releases a route without anything waiting saves up. Its
+	// requests arrive at random: without any, those that arrive together wait although the
+	// route stays below its share on average.
+	savedReleases = 8
+	// keptRoutes is the number of routes from which on a slot without anything waiting is
+	// given to another route.
+	keptRoutes = 64
+)
 
 // Shares divides a queue by deficit round robin (Shreedhar and Varghese 1995). A round
-// gives one credit to each route that has something waiting, and a release costs a route
-// 2^priority credits, so that its weight is 2^-priority. A route without anything waiting
-// has no credit and takes part in no round: what it does not use goes to the others at
-// once, and it saves nothing up. The zero value is an empty queue.
+// gives one credit to each route, and a release costs a route 2^priority credits, so that
+// its weight is 2^-priority. Rounds do not wait for a route that has nothing waiting: what
+// it does not use goes to the others at once, except that it saves up credit for
+// savedReleases. The zero value is an empty queue.
 type Shares struct {
-	// slots hold the routes that have something waiting; a slot without is free.
 	slots []slot
 	// next is the slot at which the present round continues.
 	next int
@@ -23,14 +31,16 @@
 	route    string
 	priority int
 	waiting  int
-	// credit is at most the cost of a release.
-	credit int
+	credit   int
 	// releases counts since the route has something waiting.
 	releases int
 }
 
 func (s *slot) cost() int { return 1 << s.priority }
 
+// addCredit adds credit up to the limit.
+func (s *slot) addCredit(n int) { s.credit = min(s.credit+n, savedReleases*s.cost()) }
+
 // weight is proportional to 2^-priority.
 func (s *slot) weight() int { return 1 << (maxPriority - s.priority) }
 
@@ -39,27 +49,28 @@
 func (s *Shares) Add(route string, priority int) (slotIndex int) {
 	i := s.slot(route)
 	at := &s.slots[i]
-	at.route = route
 	at.priority = min(max(priority, 0), maxPriority)
-	at.credit = min(at.credit, at.cost())
+	at.addCredit(0)
 	at.waiting++
 	return i
 }
 
-// slot returns the slot of the route, or a free one.
+// slot returns the slot of the route, which is created if necessary.
 func (s *Shares) slot(route string) int {
 	free := -1
 	for i := range s.slots {
+		if s.slots[i].route == route {
+			return i
+		}
 		if s.slots[i].waiting == 0 {
 			free = i
-		} else if s.slots[i].route == route {
-			return i
 		}
 	}
-	if free < 0 {
+	if free < 0 || len(s.slots) < keptRoutes {
 		free = len(s.slots)
 		s.slots = append(s.slots, slot{})
 	}
+	s.slots[free] = slot{route: route}
 	return free
 }
 
@@ -69,7 +80,7 @@
 	at := &s.slots[slotIndex]
 	at.waiting--
 	if at.waiting == 0 {
-		*at = slot{}
+		at.releases = 0
 	}
 }
 
@@ -81,16 +92,13 @@
 	for n := range s.slots {
 		i := (s.next + n) % len(s.slots)
 		at := &s.slots[i]
-		if needs := at.cost() - at.credit; at.waiting > 0 && (!ok || needs < rounds) {
+		if needs := max(0, at.cost()-at.credit); at.waiting > 0 && (!ok || needs < rounds) {
 			slotIndex, rounds, ok = i, needs, true
 		}
 	}
-	if rounds == 0 {
-		return slotIndex, ok
-	}
-	for i := range s.slots {
-		if at := &s.slots[i]; at.waiting > 0 {
-			at.credit = min(at.credit+rounds, at.cost())
+	if rounds > 0 {
+		for i := range s.slots {
+			s.slots[i].addCredit(rounds)
 		}
 	}
 	return slotIndex, ok
