--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -108,7 +108,7 @@
 // request as well.
 func (s *Shares) Charge(slotIndex int) {
 	at := &s.slots[slotIndex]
-	at.credit = max(0, at.credit-at.cost())
+	at.credit -= at.cost()
 	at.releases++
 	s.next = (slotIndex + 1) % len(s.slots)
 }
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -21,20 +21,22 @@
 }
 
 // TestReleasesFollowTheWeights: a rounding error or a lost credit gives a route more or
-// less than 2^-priority of the releases.
+// less than 2^-priority of the releases, with and without a route of priority 0.
 func TestReleasesFollowTheWeights(t *testing.T) {
-	var s Shares
-	for range 400 {
-		s.Add("urgent", 0)
-		s.Add("equal", 0)
-		s.Add("half", 1)
-		s.Add("quarter", 2)
-	}
-	count := map[string]int{}
-	for range 11 * 20 {
-		count[release(&s)]++
+	for least := range 4 {
+		var s Shares
+		for range 400 {
+			s.Add("urgent", least)
+			s.Add("equal", least)
+			s.Add("half", least+1)
+			s.Add("quarter", least+2)
+		}
+		count := map[string]int{}
+		for range 11 * 20 {
+			count[release(&s)]++
+		}
+		require.Equal(t, map[string]int{"urgent": 80, "equal": 80, "half": 40, "quarter": 20}, count)
 	}
-	require.Equal(t, map[string]int{"urgent": 80, "equal": 80, "half": 40, "quarter": 20}, count)
 }
 
 // TestLentShareReturnsAtOnce: a route that was idle while another one took all releases
--- a/standin/emu/result.go
+++ b/standin/emu/result.go
@@ -20,8 +20,9 @@
 type Result struct {
 	// Classes holds the counts by name of the class.
 	Classes map[string]*Counts
-	// Seconds counts requests by the second of their start.
-	Seconds []Counts
+	// Seconds counts requests by the second of their start, ClassSeconds those of a class.
+	Seconds      []Counts
+	ClassSeconds map[string][]Counts
 	// times are the times from the start of a request to its answer.
 	times []time.Duration
 	// All of these must be 0: wrong answers, requests that ran twice or at another
@@ -33,19 +34,25 @@
 }
 
 func newResult(classes []Class) *Result {
-	r := &Result{Classes: make(map[string]*Counts)}
+	r := &Result{Classes: make(map[string]*Counts), ClassSeconds: make(map[string][]Counts)}
 	for _, c := range classes {
 		r.Classes[c.Name] = &Counts{}
 	}
 	return r
 }
 
-// countsFor returns the counts of the request's class and of the second of its start.
+// countsFor returns the counts of the request's class, of the second of its start, and of
+// the class in that second.
 func (r *Result) countsFor(q *request) []*Counts {
 	for len(r.Seconds) <= q.second {
 		r.Seconds = append(r.Seconds, Counts{})
 	}
-	return []*Counts{r.Classes[q.class.Name], &r.Seconds[q.second]}
+	seconds := r.ClassSeconds[q.class.Name]
+	for len(seconds) <= q.second {
+		seconds = append(seconds, Counts{})
+	}
+	r.ClassSeconds[q.class.Name] = seconds
+	return []*Counts{r.Classes[q.class.Name], &r.Seconds[q.second], &seconds[q.second]}
 }
 
 func (r *Result) started(q *request) {
