fairshare: Name the allocation test as the others

Cause: make unit runs the allocation tests by their name without the race detector. Change: the test's name.

--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -164,8 +164,8 @@
 	})
 }
 
-// TestNoAllocation: decisions are made for each packet that finds something waiting.
-func TestNoAllocation(t *testing.T) {
+// TestDecisionAllocatesNothing: decisions are made for each packet that finds something waiting.
+func TestDecisionAllocatesNothing(t *testing.T) {
 	var s Shares
 	for range 3 {
 		s.Add("a", 0)
