--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
 	"toucangap/internal/coldstart"
+	"toucangap/internal/fairshare"
 	"toucangap/internal/outlier"
 	"toucangap/internal/segment"
 )
@@ -47,6 +48,8 @@
 	Isolated func() bool
 	// Cold limits flows to cold endpoints. Without a function Hosts nothing is limited.
 	Cold coldstart.Rules
+	// RouteShares divides the room at congested endpoints among the routes of a service.
+	RouteShares bool
 	// Choose picks endpoints for new flows; nil means balance.Choose.
 	// Experiments set others as baselines.
 	Choose func(balance.Request, *balance.Service, []*balance.Endpoint) balance.Choice
@@ -94,7 +97,9 @@
 	// draining is set once the host is about to exit, so that it holds nothing.
 	draining bool
 	// heldFlows is the number of held flows of all services.
-	heldFlows        int
+	heldFlows int
+	// routeCounts counts held flows by name of the route.
+	routeCounts      map[string]*RouteCounts
 	flows            map[catalog.Flow]*flow
 	timers           timerHeap
 	freeFlows        []*flow
@@ -123,6 +128,9 @@
 	releases int
 	// cold limits the flows to cold endpoints; nil if the service has no limit.
 	cold *coldService
+	// shares divides the releases among the held flows' routes; nil means that they go
+	// by the order of all held flows.
+	shares *fairshare.Shares
 }
 
 // New returns a Relay without a view, started at the given time.
@@ -137,6 +145,7 @@
 		services:         make(map[string]*service),
 		history:          newHistory(now, o.FlowLifetime),
 		sizes:            make(map[catalog.Address]*balance.AnswerSizes),
+		routeCounts:      make(map[string]*RouteCounts),
 		flows:            make(map[catalog.Flow]*flow),
 		handshakeTimeout: newHandshakeTimeout(),
 	}
@@ -208,7 +217,10 @@
 func (r *Relay) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name, window: balance.NewWindow(r.started)}
+		s = &service{name: name, window: r.newWindow(r.started)}
+		if r.options.RouteShares {
+			s.shares = &fairshare.Shares{}
+		}
 		r.services[name] = s
 	}
 	return s
@@ -246,7 +258,7 @@
 	}
 	for _, s := range r.services {
 		s.observed = balance.Service{}
-		s.window = balance.NewWindow(now)
+		s.window = r.newWindow(now)
 	}
 	r.handshakeTimeout = newHandshakeTimeout()
 	r.forgetSilence()
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -93,3 +93,12 @@
 	metrics.GetOrRegisterGauge("endpoints_cold", registry).Update(cold)
 	metrics.GetOrRegisterGauge("endpoints_cold_owned", registry).Update(owned)
 }
+
+// updateRouteGauges publishes the counts of held flows by route.
+func updateRouteGauges(registry metrics.Registry, routes []relay.RouteCounts) {
+	for _, c := range routes {
+		metrics.GetOrRegisterGauge("flows_held_route_"+c.Route, registry).Update(c.Held)
+		metrics.GetOrRegisterGauge("flows_released_route_"+c.Route, registry).Update(c.Released)
+		metrics.GetOrRegisterGauge("flows_rejected_route_"+c.Route, registry).Update(c.Rejected)
+	}
+}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -129,6 +129,7 @@
 			MaxViewAge: d.timings.MaxAge,
 			Bounds:     coldstart.Bounds{Factor: d.settings.Bounds.ColdFactor, Allowance: d.settings.Bounds.ColdAllowance},
 		},
+		RouteShares: d.settings.Placement.RouteShares,
 	}, d.clock.Monotonic())
 	d.control.onPublish = d.traffic.wake
 	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, aggregator: outlier.NewAggregator()}
@@ -158,6 +159,7 @@
 		stats := d.traffic.relay.Stats()
 		updateRelayGauges(d.registry, &stats)
 		updateColdGauges(d.registry, d.traffic.relay, d.clock.Monotonic())
+		updateRouteGauges(d.registry, d.traffic.relay.RouteCounts())
 	})
 }
 
