spillover, relay: Decide which share of new flows leaves the domain

Cause: a fixed cost of 4 ms for endpoints of other domains keeps flows in a domain whose endpoints queue while other domains have free slots, and sends flows away that did not need to leave. Change: a controller for each service integrates the difference of the utilizations that the answer times at home and in the other domains imply. The relay restricts a flow's candidates to home or to the allowed domains. The setting [placement] spillover turns it on; without it nothing changes.

--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -127,6 +127,7 @@
 	if f.tries == 1 && winner == f.tried[0] && !r.lagging {
 		r.handshakeTimeout.addSample(took)
 		r.options.Observer.Accepted(took)
+		f.recordSpillHandshake(took)
 	}
 	r.recordAlive(now, f)
 	r.recordFailovers(now, f)
@@ -194,6 +195,7 @@
 	if !r.lagging {
 		f.endpoint.RecordAnswer(now, took, &f.service.observed)
 		f.answerTime = took
+		f.recordSpillAnswer(now, took)
 	}
 	r.options.Observer.Answered(took)
 }
@@ -204,6 +206,7 @@
 	if !f.answerFromKnown || f.overdue || f.acknowledged == f.answerFrom {
 		return
 	}
+	f.recordSpillSize(f.acknowledged - f.answerFrom)
 	small := r.sizesOf(f.key.Destination).RecordSize(f.acknowledged - f.answerFrom)
 	r.recordOutcome(now, f, small)
 	f.answerFromKnown = false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,6 +43,12 @@
 	// Choose picks endpoints for new flows; nil means balance.Choose.
 	// Experiments set others as baselines.
 	Choose func(balance.Request, *balance.Service, []*balance.Endpoint) balance.Choice
+	// Spillover decides for each service which share of its new flows leaves the
+	// domain; without it, endpoints of other domains only cost more.
+	Spillover bool
+	// SpilloverChanged is called when the share of a service leaves 0 and when it is 0
+	// again; it may be nil and must not block.
+	SpilloverChanged func(now time.Duration, s SpilloverState)
 	// Disabled turns features off, so that tests can show their effect.
 	Disabled Features
 }
@@ -112,6 +118,8 @@
 	held     []*flow
 	// releases counts the held flows that were forwarded.
 	releases int
+	// spill decides which new flows leave the domain; nil if spillover is off.
+	spill *spill
 }
 
 // New returns a Relay without a view, started at the given time.
@@ -181,6 +189,9 @@
 			s.slots += max(entry.Slots, 1)
 		}
 	}
+	for _, s := range r.services {
+		s.spill.update(s.candidates)
+	}
 	if len(v.EvacuatedDomains()) == 0 {
 		return
 	}
@@ -195,7 +206,7 @@
 func (r *Relay) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name, window: balance.NewWindow(r.started)}
+		s = &service{name: name, window: balance.NewWindow(r.started), spill: r.newSpill()}
 		r.services[name] = s
 	}
 	return s
@@ -234,6 +245,7 @@
 	for _, s := range r.services {
 		s.observed = balance.Service{}
 		s.window = balance.NewWindow(now)
+		s.spill.reset()
 	}
 	r.handshakeTimeout = newHandshakeTimeout()
 	for _, f := range r.flows {
--- /dev/null
+++ b/internal/relay/spillover.go
@@ -0,0 +1,216 @@
+package relay
+
+import (
+	"time"
+
+	"toucangap/internal/balance"
+	"toucangap/internal/spillover"
+)
+
+// Departure is the reason why a flow was sent to an endpoint of another failure domain.
+type Departure uint8
+
+// The reasons for sending a flow to another domain.
+const (
+	// DepartSpillover: the flow belongs to the share that leaves.
+	DepartSpillover Departure = iota
+	// DepartNoHome: the host's domain has no endpoint that takes new flows.
+	DepartNoHome
+	// DepartSuspect: SYNs to most endpoints of the host's domain are unanswered.
+	DepartSuspect
+	// DepartFull: as far as the host knows, no slot is free in its domain.
+	DepartFull
+	// DepartFailover: the SYN failed over to another endpoint.
+	DepartFailover
+	departures
+)
+
+var departureNames = [departures]string{"spillover", "no_home", "suspect", "full", "failover"}
+
+// String returns the reason's name in metrics.
+func (d Departure) String() string { return departureNames[d] }
+
+// spill is the state of a service whose new flows may leave the failure domain.
+type spill struct {
+	controller *spillover.Controller
+	// home and remote are the service's candidates in the host's domain and in those
+	// that flows may leave for, as of the revision of the controller.
+	home, remote []*balance.Endpoint
+	revision     uint64
+	left         [departures]int64
+	// spilling is set while the share is above 0, as reported last.
+	spilling bool
+}
+
+// newSpill returns the state for a new service, nil if spillover is off.
+func (r *Relay) newSpill() *spill {
+	if !r.options.Spillover {
+		return nil
+	}
+	return &spill{controller: spillover.New(r.options.Domain)}
+}
+
+// update takes over a new list of candidates.
+func (p *spill) update(candidates []*balance.Endpoint) {
+	if p == nil {
+		return
+	}
+	p.controller.ClearSlots()
+	for _, e := range candidates {
+		p.controller.AddSlots(e.Entry.Domain, max(e.Entry.Slots, 1))
+	}
+	p.split(candidates)
+}
+
+// split sorts the candidates into home and remote ones.
+func (p *spill) split(candidates []*balance.Endpoint) {
+	p.revision = p.controller.Revision()
+	p.home, p.remote = p.home[:0], p.remote[:0]
+	for _, e := range candidates {
+		switch {
+		case p.controller.Home(e.Entry.Domain):
+			p.home = append(p.home, e)
+		case p.controller.Allowed(e.Entry.Domain):
+			p.remote = append(p.remote, e)
+		}
+	}
+}
+
+// choose picks the endpoint of a new flow. With spillover, the flow stays among the
+// endpoints of the host's domain or leaves for those of the allowed domains; if these
+// are of no use, it goes to the cheapest one of all.
+func (r *Relay) choose(now time.Duration, f *flow) balance.Choice {
+	request := balance.Request{Now: now, Hash: f.key.Hash(), Domain: r.options.Domain, FailureCost: f.timeout}
+	sv := f.service
+	candidates, reason := sv.candidates, DepartSuspect
+	if sv.spill != nil {
+		candidates, reason = r.spillCandidates(now, sv, request.Hash)
+	}
+	choice := r.options.Choose(request, &sv.observed, candidates)
+	if sv.spill == nil {
+		return choice
+	}
+	if reason == DepartFull && !choice.Endpoint.Free() && !choice.Trial {
+		choice = r.options.Choose(request, &sv.observed, sv.candidates)
+	}
+	sv.spill.count(choice.Endpoint, reason)
+	return choice
+}
+
+// spillCandidates returns the endpoints among which a new flow is placed, and the reason
+// if it is placed in another domain: DepartFull for a flow that stays.
+func (r *Relay) spillCandidates(now time.Duration, sv *service, hash uint64) ([]*balance.Endpoint, Departure) {
+	p := sv.spill
+	leaves := p.controller.Leaves(now, hash)
+	r.notifySpillover(now, sv)
+	if p.revision != p.controller.Revision() {
+		p.split(sv.candidates)
+	}
+	switch {
+	case len(p.home) == 0:
+		return sv.candidates, DepartNoHome
+	case leaves && mostlyAnswer(p.remote):
+		return p.remote, DepartSpillover
+	case mostlyAnswer(p.home):
+		return p.home, DepartFull
+	}
+	return sv.candidates, DepartSuspect
+}
+
+// mostlyAnswer reports whether at least half of the endpoints have no unanswered SYN.
+// While more of them do, the rest would be overloaded by all flows.
+func mostlyAnswer(list []*balance.Endpoint) bool {
+	answering := 0
+	for _, e := range list {
+		if e.UnansweredSYNs() == 0 {
+			answering++
+		}
+	}
+	return answering > 0 && 2*answering >= len(list)
+}
+
+// count counts a flow if its endpoint is in another domain.
+func (p *spill) count(e *balance.Endpoint, reason Departure) {
+	if p != nil && !p.controller.Home(e.Entry.Domain) {
+		p.left[reason]++
+	}
+}
+
+// notifySpillover reports that the share of a service has left 0, or is 0 again.
+func (r *Relay) notifySpillover(now time.Duration, sv *service) {
+	spilling := sv.spill.controller.Share() > 0
+	if spilling == sv.spill.spilling {
+		return
+	}
+	sv.spill.spilling = spilling
+	if r.options.SpilloverChanged != nil {
+		r.options.SpilloverChanged(now, r.spilloverState(now, sv))
+	}
+}
+
+// recordSpillHandshake records the time from a flow's SYN to its handshake ACK.
+func (f *flow) recordSpillHandshake(took time.Duration) {
+	if p := f.service.spill; p != nil {
+		p.controller.RecordHandshake(f.endpoint.Entry.Domain, took)
+	}
+}
+
+// recordSpillAnswer records the time from a request of the flow to its answer. Those
+// later than the target were recorded when it passed.
+func (f *flow) recordSpillAnswer(now, took time.Duration) {
+	if p := f.service.spill; p != nil && !f.pastTarget {
+		p.controller.RecordAnswer(now, f.endpoint.Entry.Domain, took, f.valuable())
+	}
+}
+
+// recordSpillSize records the size of an answer.
+func (f *flow) recordSpillSize(bytes uint32) {
+	if p := f.service.spill; p != nil {
+		p.controller.RecordSize(bytes)
+	}
+}
+
+// recordSpillLate records that the target of a waiting request has passed.
+func (r *Relay) recordSpillLate(now time.Duration, f *flow) {
+	if p := f.service.spill; p != nil && !r.lagging && !f.startUnknown {
+		p.controller.RecordLate(now, f.endpoint.Entry.Domain, f.valuable())
+	}
+}
+
+// recordSpillUnanswered records a flow's first SYN without a handshake ACK. Later ones
+// say nothing: the caller may have gone.
+func (r *Relay) recordSpillUnanswered(now time.Duration, f *flow) {
+	if p := f.service.spill; p != nil && !r.lagging && f.tries == 1 {
+		p.controller.RecordUnanswered(now, f.endpoint.Entry.Domain)
+	}
+}
+
+// reset discards what was learned.
+func (p *spill) reset() {
+	if p != nil {
+		p.controller.Reset()
+	}
+}
+
+// SpilloverState describes the spillover of one service.
+type SpilloverState struct {
+	Service string
+	spillover.State
+	// Left counts the flows that were placed in other domains, by reason.
+	Left [departures]int64
+}
+
+func (r *Relay) spilloverState(now time.Duration, sv *service) SpilloverState {
+	return SpilloverState{Service: sv.name, State: sv.spill.controller.State(now), Left: sv.spill.left}
+}
+
+// Spillover returns the states of all services with endpoints, none if spillover is off.
+func (r *Relay) Spillover(now time.Duration) []SpilloverState {
+	var list []SpilloverState
+	for _, sv := range r.services {
+		if sv.spill != nil && len(sv.candidates) > 0 {
+			list = append(list, r.spilloverState(now, sv))
+		}
+	}
+	return list
+}
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -101,9 +101,7 @@
 	p := r.placement(f.key, f.route, f.service.name)
 	p.Retransmissions = f.retransmissions
 	p.Waited = now - f.startedAt
-	p.Choice = r.options.Choose(balance.Request{
-		Now: now, Hash: f.key.Hash(), Domain: r.options.Domain, FailureCost: f.timeout,
-	}, &f.service.observed, f.service.candidates)
+	p.Choice = r.choose(now, f)
 	p.Endpoint = p.Choice.Endpoint.Entry
 	if !r.options.Disabled.Admission && !r.lagging && !balance.Admit(route, p.Choice) {
 		r.removeFlow(f)
@@ -175,6 +173,7 @@
 	f.detach()
 	r.tryEndpoint(now, f, p.Choice.Endpoint, frame)
 	r.stats.FailedOver++
+	f.service.spill.count(f.endpoint, DepartFailover)
 	p.Try = f.tries
 	p.Endpoint = p.Choice.Endpoint.Entry
 	r.options.Observer.Placed(now, p)
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -77,6 +77,7 @@
 // request counts as failed at the first one, unless that one was alive for other
 // callers since: then the caller had gone before.
 func (r *Relay) recordUnansweredSYN(now time.Duration, f *flow) {
+	r.recordSpillUnanswered(now, f)
 	if f.tries == 1 {
 		f.endpoint.RecordUnansweredSYN(now, f.sentAt, &f.service.observed)
 		r.options.Observer.Suspected(now, f.key, f.endpoint, now-f.sentAt)
@@ -133,6 +134,7 @@
 	}
 	if f.waiting && !f.pastTarget && now >= f.requestAt+f.valuable() {
 		f.pastTarget = true
+		r.recordSpillLate(now, f)
 		f.count()
 	}
 	idleAt := f.lastSeen + r.idleTimeout()
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -112,6 +112,7 @@
 		Output:       d.traffic,
 		Observer:     d.traffic.observer,
 		Hosts:        func() int { return int(d.control.hostCount.Load()) },
+		Spillover:    d.settings.Placement.Spillover,
 	}, d.clock.Monotonic())
 	d.control.onPublish = d.traffic.wake
 	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, aggregator: outlier.NewAggregator()}
--- /dev/null
+++ b/internal/spillover/spillover.go
@@ -0,0 +1,394 @@
+// Package spillover decides which share of a service's new flows leaves the host's
+// failure domain. It reads no clock: all times are passed in, from one monotonic clock.
+//
+// Each host decides alone, from the answers of its own requests. It answers a load
+// that differs between domains for some seconds: a wave of demand, or callers that
+// move from one domain to another.
+package spillover
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of the control loop.
+//
+// The controller is an integrator. Its error is a difference of utilizations, computed
+// from answer times by t = base/(1-u): answer times grow without bound as endpoints
+// fill up, whereas u follows the load nearly linearly. With 2 slots an endpoint
+// answers in base/(1-u), u being the square of its load, so du/dshare is at most 2 for the
+// home domain and less for the others together: a plant gain m of at most 2.7, about 1.5
+// at loads below 0.8. The delay T is that of an answer, 0.1 to 0.3 s, plus homeMemory:
+// 1.1 s at most. An integrator of gain k behind a delay T is stable for k*m*T < pi/2. With
+// gain 0.35 the product is 1.04, at loads below 0.8 about 0.5, where a disturbance decays
+// without overshoot. The share follows with a time constant of 1/(k*m), 1 to 2 s.
+const (
+	// gain is the change of the share per second for an error of 1.
+	gain = 0.35
+	// maxError limits the error, since answer times above maxRatio look alike.
+	maxError = 0.6
+	// startError is the error from which a share leaves 0. Noise in the mean of some
+	// 15 answers stays below it.
+	startError = 0.1
+	// holdError is the error up to which a share above 0 does not change.
+	holdError = 0.03
+	// reserve is what leaving has to gain beyond the additional round trips, for the
+	// price of bytes between domains.
+	reserve = 8 * time.Millisecond
+	// minShare is the smallest share above 0. It yields the answers from which other
+	// domains are known.
+	minShare = 0.02
+	// unknownShare limits the share while no answer of another domain is known, and
+	// answerShare is added for each one that is. While other domains are full as well,
+	// few flows find that out.
+	unknownShare = 0.1
+	answerShare  = 0.1
+	// maxStep limits the time for which one error is integrated.
+	maxStep = 250 * time.Millisecond
+	// minStep is the interval of the integration.
+	minStep = 50 * time.Millisecond
+)
+
+// Parameters of what is known of other domains.
+const (
+	// cutOffSYNs is the number of consecutive unanswered SYNs after which a domain counts
+	// as cut off. A single dead endpoint is not hit that often in a row.
+	cutOffSYNs = 3
+	// minCutOff is how long no flow goes to a domain that is cut off. The time doubles
+	// with each further unanswered SYN, up to maxCutOff.
+	minCutOff = time.Second
+	maxCutOff = 8 * time.Second
+	// unknownDistance is the additional round trip that is assumed until it was measured.
+	unknownDistance = 5 * time.Millisecond
+	// windowBytes is what an endpoint sends of an answer in one round trip: 16 packets
+	// of 1,200 bytes.
+	windowBytes = 16 * 1200
+)
+
+// domain is what is known of a failure domain.
+type domain struct {
+	name  string
+	slots int
+	// work averages the times of answers without the round trip.
+	work average
+	// roundTrip averages the handshakes, 0 if there was none.
+	roundTrip float64
+	// unanswered counts consecutive unanswered SYNs.
+	unanswered  int
+	cutOffUntil time.Duration
+	// allowed is set if flows may leave for the domain.
+	allowed bool
+}
+
+// Controller decides for one service. The zero value is not usable; see New.
+type Controller struct {
+	home domain
+	// remote holds the other domains with usable slots, and those that had some before.
+	remote []domain
+	// remoteWork averages the answers of all other domains.
+	remoteWork average
+	// base is the time of an answer that did not wait, without the round trip; 0 until
+	// baseAnswers were seen.
+	base float64
+	// roundTrips averages the round trips that a flow needs.
+	roundTrips float64
+
+	share     float64
+	steppedAt time.Duration
+	// answeredAt is when the last answer was recorded.
+	answeredAt time.Duration
+	// revision rises with each change of the allowed domains.
+	revision uint64
+}
+
+// New returns a controller for a host of the given failure domain, which knows nothing.
+func New(home string) *Controller {
+	c := &Controller{}
+	c.home.name = home
+	c.Reset()
+	return c
+}
+
+// Reset discards what was learned. Domains and their slots stay.
+func (c *Controller) Reset() {
+	revision := c.revision + 1
+	home, remote := domain{name: c.home.name, slots: c.home.slots}, c.remote
+	for i := range remote {
+		remote[i] = domain{name: remote[i].name, slots: remote[i].slots, allowed: remote[i].slots > 0}
+	}
+	*c = Controller{home: home, remote: remote, revision: revision, roundTrips: 2}
+}
+
+// ClearSlots sets the number of usable slots of all domains to 0, before AddSlots.
+func (c *Controller) ClearSlots() {
+	c.home.slots = 0
+	for i := range c.remote {
+		c.remote[i].slots = 0
+	}
+	c.revision++
+}
+
+// AddSlots adds usable slots of a domain.
+func (c *Controller) AddSlots(name string, n int) {
+	d := c.domain(name)
+	if d == nil {
+		c.remote = append(c.remote, domain{name: name, allowed: true})
+		d = &c.remote[len(c.remote)-1]
+	}
+	d.slots += n
+}
+
+// domain returns a domain, or nil if it never had slots.
+func (c *Controller) domain(name string) *domain {
+	if name == c.home.name {
+		return &c.home
+	}
+	for i := range c.remote {
+		if c.remote[i].name == name {
+			return &c.remote[i]
+		}
+	}
+	return nil
+}
+
+// RecordHandshake records the time from a SYN to its handshake ACK.
+func (c *Controller) RecordHandshake(name string, took time.Duration) {
+	d := c.domain(name)
+	if d == nil {
+		return
+	}
+	d.alive()
+	if d.roundTrip == 0 {
+		d.roundTrip = float64(took)
+		return
+	}
+	d.roundTrip += roundTripSmoothing * (float64(took) - d.roundTrip)
+}
+
+// alive records that an endpoint of the domain has shown that it is alive.
+func (d *domain) alive() { d.unanswered, d.cutOffUntil = 0, 0 }
+
+// RecordAnswer records the time from a request to its answer. Times beyond the route's
+// target count as the target: they are equally late.
+func (c *Controller) RecordAnswer(now time.Duration, name string, took, target time.Duration) {
+	if d := c.domain(name); d != nil {
+		d.alive()
+		c.recordTime(now, d, took, target)
+	}
+}
+
+// RecordLate records a request without an answer within the route's target.
+func (c *Controller) RecordLate(now time.Duration, name string, target time.Duration) {
+	if d := c.domain(name); d != nil {
+		c.recordTime(now, d, target, target)
+	}
+}
+
+func (c *Controller) recordTime(now time.Duration, d *domain, took, target time.Duration) {
+	c.answeredAt = now
+	work := max(0, float64(min(took, target))-d.roundTrip)
+	if c.base == 0 {
+		d.work.add(work, homeWeight)
+		if d.work.weight >= baseAnswers {
+			// After a start under load all answers have waited.
+			c.base = min(d.work.mean, float64(target)*maxBaseShare)
+		}
+		return
+	}
+	c.addWork(d, min(work, maxRatio*c.base))
+}
+
+// RecordUnanswered records a SYN that had no handshake ACK in time: the endpoint has
+// refused it, is dead, or can't be reached. It counts like a late answer.
+func (c *Controller) RecordUnanswered(now time.Duration, name string) {
+	d := c.domain(name)
+	if d == nil {
+		return
+	}
+	if c.base > 0 {
+		c.addWork(d, maxRatio*c.base)
+	}
+	d.unanswered++
+	if d == &c.home || d.unanswered < cutOffSYNs {
+		return
+	}
+	pause := min(minCutOff<<min(d.unanswered-cutOffSYNs, 8), maxCutOff)
+	d.cutOffUntil = now + pause
+	d.work, d.roundTrip = average{}, 0
+	c.remoteWork = average{}
+	c.setAllowed(d, false)
+}
+
+// RecordSize records the size of an answer.
+func (c *Controller) RecordSize(bytes uint32) {
+	needed := 1 + max(1, math.Ceil(float64(bytes)/windowBytes))
+	c.roundTrips += sizeSmoothing * (needed - c.roundTrips)
+}
+
+func (c *Controller) addWork(d *domain, work float64) {
+	if d == &c.home {
+		d.work.add(work, homeWeight)
+		return
+	}
+	d.work.add(work, remoteWeight)
+	c.remoteWork.add(work, remoteWeight)
+}
+
+func (c *Controller) setAllowed(d *domain, allowed bool) {
+	if d.allowed != allowed {
+		d.allowed = allowed
+		c.revision++
+	}
+}
+
+// Share returns the share of new flows that leaves.
+func (c *Controller) Share() float64 { return c.share }
+
+// Revision returns a number that rises when the slots or the allowed domains change.
+func (c *Controller) Revision() uint64 { return c.revision }
+
+// Home reports whether the domain is the host's.
+func (c *Controller) Home(name string) bool { return name == c.home.name }
+
+// Allowed reports whether flows may leave for a domain.
+func (c *Controller) Allowed(name string) bool {
+	d := c.domain(name)
+	return d != nil && d != &c.home && d.allowed && d.slots > 0
+}
+
+// Leaves reports whether the flow with the hash leaves. The hash alone decides, so that
+// the hosts that get copies of a SYN agree as far as their shares do.
+func (c *Controller) Leaves(now time.Duration, hash uint64) bool {
+	if now-c.steppedAt >= minStep {
+		c.step(now)
+	}
+	return c.share > 0 && uniform(hash) < c.share
+}
+
+// uniform maps a flow's hash to [0, 1) independently of the route's services and of the
+// order of endpoints (finalizer of SplitMix64).
+func uniform(hash uint64) float64 {
+	x := hash + 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return float64((x^x>>31)>>11) / (1 << 53)
+}
+
+// step ages what is known and moves the share.
+func (c *Controller) step(now time.Duration) {
+	elapsed := now - c.steppedAt
+	c.steppedAt = now
+	c.home.work.age(elapsed, homeMemory)
+	c.remoteWork.age(elapsed, remoteMemory)
+	for i := range c.remote {
+		c.remote[i].work.age(elapsed, remoteMemory)
+	}
+	if c.base == 0 {
+		return
+	}
+	c.followBase(elapsed)
+	home := c.home.work.shrunk(c.base, 1)
+	remote, slots := c.updateAllowed(now, home)
+	if slots == 0 || c.home.slots == 0 {
+		c.share = 0
+		return
+	}
+	c.integrate(min(elapsed, maxStep), c.base/remote-c.base/home, slots)
+}
+
+// followBase moves base to the shortest mean, quickly down and slowly up.
+func (c *Controller) followBase(elapsed time.Duration) {
+	for _, work := range [...]average{c.home.work, c.remoteWork} {
+		if work.weight < baseAnswers {
+			continue
+		}
+		memory := baseRise
+		if work.mean < c.base {
+			memory = baseFall
+		}
+		c.base += (work.mean - c.base) * float64(elapsed) / float64(elapsed+memory)
+	}
+}
+
+// updateAllowed decides which domains flows may leave for: those that can be reached
+// and answer sooner than home, the cost of leaving included. It returns the mean time of
+// these, or the lowest time if there are none, and the slots of all that can be reached.
+func (c *Controller) updateAllowed(now time.Duration, home float64) (remote float64, slots int) {
+	pooled := c.remoteWork.shrunk(c.base, basePrior)
+	lowest, sum, allowedSlots := math.Inf(1), 0.0, 0
+	for i := range c.remote {
+		d := &c.remote[i]
+		if d.slots == 0 || now < d.cutOffUntil {
+			c.setAllowed(d, false)
+			continue
+		}
+		cost := d.work.shrunk(pooled, pooledPrior) + c.distance(d)*c.roundTrips
+		known := d.work.weight >= excludeAnswers
+		c.setAllowed(d, !known || cost < home || d.allowed && cost < home+float64(reserve))
+		slots += d.slots
+		lowest = min(lowest, cost)
+		if d.allowed {
+			sum += cost * float64(d.slots)
+			allowedSlots += d.slots
+		}
+	}
+	remote = lowest
+	if allowedSlots > 0 {
+		remote = sum / float64(allowedSlots)
+	}
+	return remote + float64(reserve), slots
+}
+
+// distance returns the additional round trip to a domain.
+func (c *Controller) distance(d *domain) float64 {
+	if d.roundTrip == 0 || c.home.roundTrip == 0 {
+		return float64(unknownDistance)
+	}
+	return max(0, d.roundTrip-c.home.roundTrip)
+}
+
+// integrate moves the share by the error for the elapsed time.
+func (c *Controller) integrate(elapsed time.Duration, excess float64, slots int) {
+	if c.share == 0 && excess < startError || math.Abs(excess) < holdError {
+		return
+	}
+	excess = min(max(excess, -maxError), maxError)
+	share := c.share + gain*excess*elapsed.Seconds()
+	if excess < 0 && share < minShare {
+		c.share = 0
+		return
+	}
+	most := float64(slots) / float64(slots+c.home.slots)
+	if excess > 0 {
+		most = max(min(most, unknownShare+answerShare*c.remoteWork.weight), min(c.share, most))
+	}
+	c.share = min(max(share, minShare), most)
+}
+
+// State is a snapshot of a controller. Times that are not known are 0.
+type State struct {
+	// Share is the share of new flows that leaves.
+	Share float64
+	// Home and Remote are the mean times to answer without the round trip, at most
+	// maxRatio times as long as an answer that did not wait.
+	Home   time.Duration
+	Remote time.Duration
+	// Age is the time since the last answer.
+	Age time.Duration
+	// Closed lists the domains that no flow may leave for, though they have slots.
+	Closed []string
+}
+
+// State returns a snapshot.
+func (c *Controller) State(now time.Duration) State {
+	s := State{Share: c.share, Home: time.Duration(c.home.work.mean), Remote: time.Duration(c.remoteWork.mean)}
+	if c.answeredAt > 0 {
+		s.Age = now - c.answeredAt
+	}
+	for i := range c.remote {
+		if d := &c.remote[i]; d.slots > 0 && !d.allowed {
+			s.Closed = append(s.Closed, d.name)
+		}
+	}
+	return s
+}
