--- /dev/null
+++ b/internal/relay/spillover_test.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"toucangap/internal/catalog"
+	"toucangap/internal/segment"
+)
+
+// newSpilloverHarness returns a relay of domain "d" with spillover and endpoints i-1 to
+// i-n of service "s" there, and e-1 to e-n in domain "e".
+func newSpilloverHarness(t testing.TB, home, remote int) *harness {
+	r := newHarness(t, 0)
+	r.relay = New(Options{Domain: "d", MaxFlows: 1000, FlowLifetime: lifetime, Output: discard{r}, Observer: discard{r}, Spillover: true}, 0)
+	for i := range home {
+		r.addEndpoint(fmt.Sprintf("i-%d", i+1), "s")
+	}
+	for i := range remote {
+		r.revision++
+		e := &catalog.Endpoint{ID: fmt.Sprintf("e-%d", i+1), Recipient: 1, Service: "s", Domain: "e", Slots: 2}
+		r.directory.PutEndpoint(r.now, e, catalog.Position{Revision: r.revision})
+	}
+	r.configureTarget(250 * ms)
+	return r
+}
+
+// timedFlow plays a whole flow whose answer takes the given time by domain, and reports
+// whether it left the home domain.
+func (r *harness) timedFlow(port uint16, frame []byte, home, remote time.Duration) (left bool) {
+	s := segment.Segment{Flow: flowOf(port), Sequence: 1000, Syn: true}
+	r.relay.Packet(r.now, s, frame)
+	e := r.relay.flows[s.Flow].endpoint
+	left = e.Entry.Domain != "d"
+	took := home
+	if left {
+		took = remote
+	}
+	for _, s := range []segment.Segment{
+		{Acknowledgement: 1, DataBytes: 10}, {Acknowledgement: 500}, {Acknowledgement: 500, Fin: true},
+	} {
+		s.Flow, s.Token, s.Sequence, s.Ack = flowOf(port), e.Entry.Token(), 1001, true
+		r.advance(ms)
+		if s.Acknowledgement == 500 && !s.Fin {
+			r.advance(took)
+		}
+		r.relay.Packet(r.now, s, frame)
+	}
+	return left
+}
+
+// TestSpilloverFollowsAnswerTimes guards against flows that stay in a domain whose
+// endpoints answer later than others or leave one that does not, which happens if answers
+// are not attributed to their domains, and against allocations for each flow.
+func TestSpilloverFollowsAnswerTimes(t *testing.T) {
+	r := newSpilloverHarness(t, 4, 4)
+	var changes []bool
+	r.relay.options.SpilloverChanged = func(_ time.Duration, s SpilloverState) { changes = append(changes, s.Share > 0) }
+	frame := make([]byte, 40)
+	port := uint16(0)
+	play := func(flows int, home time.Duration) (left int) {
+		for range flows {
+			port++
+			if r.timedFlow(port, frame, home, 20*ms) {
+				left++
+			}
+		}
+		return left
+	}
+	require.Zero(t, play(200, 20*ms))
+	require.Greater(t, play(100, 100*ms), 20)
+	require.Zero(t, testing.AllocsPerRun(200, func() { play(1, 100*ms) }))
+	play(100, 20*ms)
+	require.Zero(t, play(100, 20*ms))
+	require.Equal(t, []bool{true, false}, changes)
+	state := r.relay.Spillover(r.now)[0]
+	require.Equal(t, 20*ms, state.Home.Round(5*ms))
+	require.Equal(t, 20*ms, state.Remote.Round(5*ms))
+	require.Greater(t, state.Left[DepartSpillover], int64(20))
+	require.Less(t, state.HomeAge, time.Second)
+}
+
+// TestSpilloverWithoutHome guards against flows that are refused or kept at home where no
+// endpoint takes them: none is listed, or the SYNs to most of them are unanswered.
+func TestSpilloverWithoutHome(t *testing.T) {
+	r := newSpilloverHarness(t, 0, 4)
+	require.True(t, r.timedFlow(1, make([]byte, 40), 0, 20*ms))
+	require.Equal(t, int64(1), r.relay.Spillover(r.now)[0].Left[DepartNoHome])
+
+	r = newSpilloverHarness(t, 4, 4)
+	for i := range 3 {
+		e := r.relay.endpoints[catalog.TokenOf(fmt.Sprintf("i-%d", i+1))]
+		e.RecordUnansweredSYN(r.now, r.now, &r.relay.services["s"].observed)
+	}
+	left := 0
+	for port := uint16(1); port <= 20; port++ {
+		r.syn(port, 0)
+		if r.relay.flows[flowOf(port)].endpoint.Entry.Domain == "e" {
+			left++
+		}
+	}
+	require.Greater(t, left, 8)
+	require.Equal(t, int64(left), r.relay.Spillover(r.now)[0].Left[DepartSuspect])
+}
--- a/internal/spillover/average.go
+++ b/internal/spillover/average.go
@@ -5,8 +5,8 @@
 // Parameters of the averages.
 const (
 	// homeMemory is how long an answer of the home domain counts, and homeWeight limits
-	// their number. At 20 answers per second 16 of them are known.
-	homeMemory = 800 * time.Millisecond
+	// their number. At 20 answers per second 8 of them count.
+	homeMemory = 400 * time.Millisecond
 	homeWeight = 40.0
 	// remoteMemory and remoteWeight are those of other domains. The memory is longer
 	// since few flows leave; with many of them, the weight keeps it at about a second.
@@ -46,6 +46,16 @@
 	a.mean += (value - a.mean) / a.weight
 }
 
+// merge adds the values of another average, up to the limit.
+func (a *average) merge(other average, limit float64) {
+	weight := a.weight + other.weight
+	if weight == 0 {
+		return
+	}
+	a.mean = (a.mean*a.weight + other.mean*other.weight) / weight
+	a.weight = min(weight, limit)
+}
+
 // age reduces the weight by the elapsed time.
 func (a *average) age(elapsed, memory time.Duration) {
 	a.weight *= float64(memory) / float64(memory+elapsed)
--- a/internal/spillover/spillover.go
+++ b/internal/spillover/spillover.go
@@ -11,44 +11,6 @@
 	"time"
 )
 
-// Parameters of the control loop.
-//
-// The controller is an integrator. Its error is a difference of utilizations, computed
-// from answer times by t = base/(1-u): answer times grow without bound as endpoints
-// fill up, whereas u follows the load nearly linearly. With 2 slots an endpoint
-// answers in base/(1-u), u being the square of its load, so du/dshare is at most 2 for the
-// home domain and less for the others together: a plant gain m of at most 2.7, about 1.5
-// at loads below 0.8. The delay T is that of an answer, 0.1 to 0.3 s, plus homeMemory:
-// 1.1 s at most. An integrator of gain k behind a delay T is stable for k*m*T < pi/2. With
-// gain 0.35 the product is 1.04, at loads below 0.8 about 0.5, where a disturbance decays
-// without overshoot. The share follows with a time constant of 1/(k*m), 1 to 2 s.
-const (
-	// gain is the change of the share per second for an error of 1.
-	gain = 0.35
-	// maxError limits the error, since answer times above maxRatio look alike.
-	maxError = 0.6
-	// startError is the error from which a share leaves 0. Noise in the mean of some
-	// 15 answers stays below it.
-	startError = 0.1
-	// holdError is the error up to which a share above 0 does not change.
-	holdError = 0.03
-	// reserve is what leaving has to gain beyond the additional round trips, for the
-	// price of bytes between domains.
-	reserve = 8 * time.Millisecond
-	// minShare is the smallest share above 0. It yields the answers from which other
-	// domains are known.
-	minShare = 0.02
-	// unknownShare limits the share while no answer of another domain is known, and
-	// answerShare is added for each one that is. While other domains are full as well,
-	// few flows find that out.
-	unknownShare = 0.1
-	answerShare  = 0.1
-	// maxStep limits the time for which one error is integrated.
-	maxStep = 250 * time.Millisecond
-	// minStep is the interval of the integration.
-	minStep = 50 * time.Millisecond
-)
-
 // Parameters of what is known of other domains.
 const (
 	// cutOffSYNs is the number of consecutive unanswered SYNs after which a domain counts
@@ -76,6 +38,8 @@
 	// unanswered counts consecutive unanswered SYNs.
 	unanswered  int
 	cutOffUntil time.Duration
+	// answeredAt is when the last answer was recorded, 0 if there was none.
+	answeredAt time.Duration
 	// allowed is set if flows may leave for the domain.
 	allowed bool
 }
@@ -95,8 +59,6 @@
 
 	share     float64
 	steppedAt time.Duration
-	// answeredAt is when the last answer was recorded.
-	answeredAt time.Duration
 	// revision rises with each change of the allowed domains.
 	revision uint64
 }
@@ -177,15 +139,16 @@
 	}
 }
 
-// RecordLate records a request without an answer within the route's target.
+// RecordLate records a request without an answer within the route's target. Requests that
+// were sent to a domain before it was cut off say nothing about its endpoints.
 func (c *Controller) RecordLate(now time.Duration, name string, target time.Duration) {
-	if d := c.domain(name); d != nil {
+	if d := c.domain(name); d != nil && d.unanswered < cutOffSYNs {
 		c.recordTime(now, d, target, target)
 	}
 }
 
 func (c *Controller) recordTime(now time.Duration, d *domain, took, target time.Duration) {
-	c.answeredAt = now
+	d.answeredAt = now
 	work := max(0, float64(min(took, target))-d.roundTrip)
 	if c.base == 0 {
 		d.work.add(work, homeWeight)
@@ -215,8 +178,11 @@
 	pause := min(minCutOff<<min(d.unanswered-cutOffSYNs, 8), maxCutOff)
 	d.cutOffUntil = now + pause
 	d.work, d.roundTrip = average{}, 0
-	c.remoteWork = average{}
 	c.setAllowed(d, false)
+	c.remoteWork = average{}
+	for i := range c.remote {
+		c.remoteWork.merge(c.remote[i].work, remoteWeight)
+	}
 }
 
 // RecordSize records the size of an answer.
@@ -273,122 +239,3 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return float64((x^x>>31)>>11) / (1 << 53)
 }
-
-// step ages what is known and moves the share.
-func (c *Controller) step(now time.Duration) {
-	elapsed := now - c.steppedAt
-	c.steppedAt = now
-	c.home.work.age(elapsed, homeMemory)
-	c.remoteWork.age(elapsed, remoteMemory)
-	for i := range c.remote {
-		c.remote[i].work.age(elapsed, remoteMemory)
-	}
-	if c.base == 0 {
-		return
-	}
-	c.followBase(elapsed)
-	home := c.home.work.shrunk(c.base, 1)
-	remote, slots := c.updateAllowed(now, home)
-	if slots == 0 || c.home.slots == 0 {
-		c.share = 0
-		return
-	}
-	c.integrate(min(elapsed, maxStep), c.base/remote-c.base/home, slots)
-}
-
-// followBase moves base to the shortest mean, quickly down and slowly up.
-func (c *Controller) followBase(elapsed time.Duration) {
-	for _, work := range [...]average{c.home.work, c.remoteWork} {
-		if work.weight < baseAnswers {
-			continue
-		}
-		memory := baseRise
-		if work.mean < c.base {
-			memory = baseFall
-		}
-		c.base += (work.mean - c.base) * float64(elapsed) / float64(elapsed+memory)
-	}
-}
-
-// updateAllowed decides which domains flows may leave for: those that can be reached
-// and answer sooner than home, the cost of leaving included. It returns the mean time of
-// these, or the lowest time if there are none, and the slots of all that can be reached.
-func (c *Controller) updateAllowed(now time.Duration, home float64) (remote float64, slots int) {
-	pooled := c.remoteWork.shrunk(c.base, basePrior)
-	lowest, sum, allowedSlots := math.Inf(1), 0.0, 0
-	for i := range c.remote {
-		d := &c.remote[i]
-		if d.slots == 0 || now < d.cutOffUntil {
-			c.setAllowed(d, false)
-			continue
-		}
-		cost := d.work.shrunk(pooled, pooledPrior) + c.distance(d)*c.roundTrips
-		known := d.work.weight >= excludeAnswers
-		c.setAllowed(d, !known || cost < home || d.allowed && cost < home+float64(reserve))
-		slots += d.slots
-		lowest = min(lowest, cost)
-		if d.allowed {
-			sum += cost * float64(d.slots)
-			allowedSlots += d.slots
-		}
-	}
-	remote = lowest
-	if allowedSlots > 0 {
-		remote = sum / float64(allowedSlots)
-	}
-	return remote + float64(reserve), slots
-}
-
-// distance returns the additional round trip to a domain.
-func (c *Controller) distance(d *domain) float64 {
-	if d.roundTrip == 0 || c.home.roundTrip == 0 {
-		return float64(unknownDistance)
-	}
-	return max(0, d.roundTrip-c.home.roundTrip)
-}
-
-// integrate moves the share by the error for the elapsed time.
-func (c *Controller) integrate(elapsed time.Duration, excess float64, slots int) {
-	if c.share == 0 && excess < startError || math.Abs(excess) < holdError {
-		return
-	}
-	excess = min(max(excess, -maxError), maxError)
-	share := c.share + gain*excess*elapsed.Seconds()
-	if excess < 0 && share < minShare {
-		c.share = 0
-		return
-	}
-	most := float64(slots) / float64(slots+c.home.slots)
-	if excess > 0 {
-		most = max(min(most, unknownShare+answerShare*c.remoteWork.weight), min(c.share, most))
-	}
-	c.share = min(max(share, minShare), most)
-}
-
-// State is a snapshot of a controller. Times that are not known are 0.
-type State struct {
-	// Share is the share of new flows that leaves.
-	Share float64
-	// Home and Remote are the mean times to answer without the round trip, at most
-	// maxRatio times as long as an answer that did not wait.
-	Home   time.Duration
-	Remote time.Duration
-	// Age is the time since the last answer.
-	Age time.Duration
-	// Closed lists the domains that no flow may leave for, though they have slots.
-	Closed []string
-}
-
-// State returns a snapshot.
-func (c *Controller) State(now time.Duration) State {
-	s := State{Share: c.share, Home: time.Duration(c.home.work.mean), Remote: time.Duration(c.remoteWork.mean)}
-	if c.answeredAt > 0 {
-		s.Age = now - c.answeredAt
-	}
-	for i := range c.remote {
-		if d := &c.remote[i]; d.slots > 0 && !d.allowed {
-			s.Closed = append(s.Closed, d.name)
-		}
-	}
-	return s
-}
