relayd: Report spillover in metrics, dump and log

Cause: nothing showed why a flow was sent to another failure domain. Change: gauges by service for the share, the mean answer times, their age and the flows that left by reason; the same in the dump; events 8020 and 8021 when the share leaves 0 and when it is 0 again. Result: go test ./internal/relayd ./internal/command/... ./internal/event passes.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -69,6 +69,25 @@
 	ID        uint32         `json:"id"`
 	Name      string         `json:"name"`
 	Endpoints []EndpointDump `json:"endpoints"`
+	// Spillover is nil unless the host may send new flows to other failure domains.
+	Spillover *SpilloverDump `json:"spillover,omitempty"`
+}
+
+// SpilloverDump describes which new flows of a service leave the host's failure domain.
+type SpilloverDump struct {
+	// Share is the share of new flows that leaves.
+	Share float64 `json:"share"`
+	// HomeMicros and RemoteMicros are the mean times to answer in the host's domain and
+	// in others, without the round trip; HomeAgeMs and RemoteAgeMs are the times since
+	// the last answers. 0 means that there was none.
+	HomeMicros   int64 `json:"home_answer_microseconds"`
+	RemoteMicros int64 `json:"remote_answer_microseconds"`
+	HomeAgeMs    int64 `json:"home_age_milliseconds"`
+	RemoteAgeMs  int64 `json:"remote_age_milliseconds"`
+	// Closed lists the domains that no flow may leave for.
+	Closed []string `json:"closed,omitempty"`
+	// Left counts flows sent to other domains, by reason.
+	Left map[string]int64 `json:"left"`
 }
 
 // EndpointDump is the state of one endpoint at this host.
--- a/internal/command/queries/dump.go
+++ b/internal/command/queries/dump.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -58,6 +59,7 @@
 	s := d.Status
 	_, _ = fmt.Fprintf(w, "host %s (%s, %s), bundle %d, platform %s\n", s.Host, s.Domain, s.State, s.Version, s.Platform)
 	printEndpoints(w, d.Services)
+	printSpillover(w, d.Services)
 	printPeers(w, d.Peers)
 	_, _ = fmt.Fprintf(w, "control: %d bytes sent, budget %d bytes/s, %d records waiting\n",
 		d.Budgets.ControlBytesSent, d.Budgets.ControlBytesPerSecond, d.Budgets.RecordsWaiting)
@@ -80,6 +82,16 @@
 	command.Table(w, rows...)
 }
 
+func printSpillover(w io.Writer, services []adminapi.ServiceDump) {
+	for _, s := range services {
+		if p := s.Spillover; p != nil {
+			_, _ = fmt.Fprintf(w, "spillover: service %s share %.3f, home %d µs (%d ms ago), remote %d µs (%d ms ago), closed [%s]\n",
+				s.Name, p.Share, p.HomeMicros, p.HomeAgeMs, p.RemoteMicros, p.RemoteAgeMs, strings.Join(p.Closed, " "))
+			printCounts(w, "left "+s.Name, p.Left)
+		}
+	}
+}
+
 func printPeers(w io.Writer, peers []adminapi.PeerDump) {
 	if len(peers) == 0 {
 		return
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -24,6 +24,8 @@
 	EndpointNoLongerFailing
 	HostLagging
 	HostNotLagging
+	SpilloverStarted
+	SpilloverEnded
 )
 
 var relayArea = Area{
@@ -49,6 +51,8 @@
 		{EndpointNoLongerFailing, slog.LevelInfo, "endpoint is no longer failing requests", "None."},
 		{HostLagging, slog.LevelWarn, "host is lagging: packets wait in its socket for too long", "Check the host's CPU load; routers stop using the host while it does not answer them."},
 		{HostNotLagging, slog.LevelInfo, "host is no longer lagging", "None."},
+		{SpilloverStarted, slog.LevelInfo, "some new flows leave the failure domain, whose endpoints answer later than others", "None for some seconds; if it lasts, the domain has too few endpoints for its callers."},
+		{SpilloverEnded, slog.LevelInfo, "new flows stay in the failure domain again", "None."},
 	},
 }
 
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -81,3 +82,23 @@
 		set("flows_reset_"+relay.Rejection(reason).String(), n)
 	}
 }
+
+// updateSpilloverGauges publishes the spillover of each service. Times that are not known
+// are 0.
+func updateSpilloverGauges(registry metrics.Registry, list []relay.SpilloverState) {
+	for i := range list {
+		s := &list[i]
+		set := func(name string, value int64) {
+			metrics.GetOrRegisterGauge("spillover_"+name+"_"+s.Service, registry).Update(value)
+		}
+		set("share_permille", int64(math.Round(1000*s.Share)))
+		set("home_answer_microseconds", s.Home.Microseconds())
+		set("remote_answer_microseconds", s.Remote.Microseconds())
+		set("home_age_milliseconds", s.HomeAge.Milliseconds())
+		set("remote_age_milliseconds", s.RemoteAge.Milliseconds())
+		set("domains_closed", int64(len(s.Closed)))
+		for reason, n := range s.Left {
+			set("flows_left_"+relay.Departure(reason).String(), n)
+		}
+	}
+}
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -196,6 +197,21 @@
 // Answered implements relay.Observer.
 func (o *observer) Answered(took time.Duration) { o.answer.Update(took.Microseconds()) }
 
+// spilloverChanged reports that the share of new flows that leaves the failure domain has
+// left 0, or is 0 again.
+func (o *observer) spilloverChanged(now time.Duration, s relay.SpilloverState) {
+	if !o.allows(now, o.noteworthy) {
+		return
+	}
+	id := event.SpilloverEnded
+	if s.Share > 0 {
+		id = event.SpilloverStarted
+	}
+	event.Log(o.logger, id, slog.String("service", s.Service), slog.Float64("share", s.Share),
+		slog.Duration("home", s.Home), slog.Duration("remote", s.Remote), slog.Duration("home_age", s.HomeAge),
+		slog.Duration("remote_age", s.RemoteAge), slog.String("closed", strings.Join(s.Closed, " ")))
+}
+
 // lagging reports that the host has begun or ceased to lag.
 func (o *observer) lagging(now time.Duration, lagging bool, waited time.Duration) {
 	if !o.allows(now, o.noteworthy) {
--- a/internal/relayd/queries.go
+++ b/internal/relayd/queries.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -58,6 +59,7 @@
 	t.do(func() {
 		now := t.clock.Monotonic()
 		dumpRelay(&dump, t.relay, t.relay.Endpoints(now), t.relay.Flows(now, limit))
+		dumpSpillover(&dump, t.relay.Spillover(now))
 	})
 	return dump, nil
 }
@@ -98,6 +100,30 @@
 	}
 }
 
+// dumpSpillover adds the spillover to the dump's services.
+func dumpSpillover(dump *adminapi.Dump, list []relay.SpilloverState) {
+	for i := range list {
+		s := &list[i]
+		at := slices.IndexFunc(dump.Services, func(d adminapi.ServiceDump) bool { return d.Name == s.Service })
+		if at < 0 {
+			continue
+		}
+		left := make(map[string]int64)
+		for reason, n := range s.Left {
+			left[relay.Departure(reason).String()] = n
+		}
+		dump.Services[at].Spillover = &adminapi.SpilloverDump{
+			Share:        s.Share,
+			HomeMicros:   s.Home.Microseconds(),
+			RemoteMicros: s.Remote.Microseconds(),
+			HomeAgeMs:    s.HomeAge.Milliseconds(),
+			RemoteAgeMs:  s.RemoteAge.Milliseconds(),
+			Closed:       s.Closed,
+			Left:         left,
+		}
+	}
+}
+
 func endpointDump(e relay.EndpointState) adminapi.EndpointDump {
 	state := "open"
 	switch {
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -113,6 +113,8 @@
 		Observer:     d.traffic.observer,
 		Hosts:        func() int { return int(d.control.hostCount.Load()) },
 		Spillover:    d.settings.Placement.Spillover,
+
+		SpilloverChanged: d.traffic.observer.spilloverChanged,
 	}, d.clock.Monotonic())
 	d.control.onPublish = d.traffic.wake
 	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, aggregator: outlier.NewAggregator()}
@@ -141,6 +143,7 @@
 	d.traffic.do(func() {
 		stats := d.traffic.relay.Stats()
 		updateRelayGauges(d.registry, &stats)
+		updateSpilloverGauges(d.registry, d.traffic.relay.Spillover(d.clock.Monotonic()))
 	})
 }
 
