relay: Count only answers that are no errors for spillover

Cause: errors come fast, so a domain whose endpoints fail requests looked free; requests that became overdue before their target were not counted at all; and the FIN of a flow could mark a domain as reached after it was cut off. Change: an answer counts once it is known not to be undersized, a request counts as late once it is overdue or past its target, and only handshakes show that a domain is reached. A flow does not stay if the best home endpoint fails more than a tenth of its requests in excess of the service.

--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -195,7 +195,6 @@
 	if !r.lagging {
 		f.endpoint.RecordAnswer(now, took, &f.service.observed)
 		f.answerTime = took
-		f.recordSpillAnswer(now, took)
 	}
 	r.options.Observer.Answered(took)
 }
@@ -211,6 +210,7 @@
 	r.recordOutcome(now, f, small)
 	f.answerFromKnown = false
 	if f.answerTime > 0 && !small {
+		f.recordSpillAnswer(now)
 		sv := f.service
 		sv.window.RecordAnswer(now, f.answerTime, f.valuable(), sv.inFlight, r.fairLimit(sv))
 	}
--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -20,12 +20,18 @@
 	DepartSuspect
 	// DepartFull: as far as the host knows, no slot is free in its domain.
 	DepartFull
+	// DepartFailing: all endpoints of the host's domain fail requests.
+	DepartFailing
 	// DepartFailover: the SYN failed over to another endpoint.
 	DepartFailover
 	departures
 )
 
-var departureNames = [departures]string{"spillover", "no_home", "suspect", "full", "failover"}
+// maxHomeFailureShare is the share of failed requests, in excess of the service's, from
+// which a flow does not stay at the best endpoint of the host's domain.
+const maxHomeFailureShare = 0.1
+
+var departureNames = [departures]string{"spillover", "no_home", "suspect", "full", "failing", "failover"}
 
 // String returns the reason's name in metrics.
 func (d Departure) String() string { return departureNames[d] }
@@ -90,8 +96,14 @@
 	if sv.spill == nil {
 		return choice
 	}
-	if reason == DepartFull && !choice.Endpoint.Free() && !choice.Trial {
-		choice = r.options.Choose(request, &sv.observed, sv.candidates)
+	if e := choice.Endpoint; reason == DepartFull && !choice.Trial {
+		failing := e.ExcessFailureShare(now, &sv.observed) >= maxHomeFailureShare
+		if failing {
+			reason = DepartFailing
+		}
+		if failing || !e.Free() {
+			choice = r.options.Choose(request, &sv.observed, sv.candidates)
+		}
 	}
 	sv.spill.count(choice.Endpoint, reason)
 	return choice
@@ -155,11 +167,11 @@
 	}
 }
 
-// recordSpillAnswer records the time from a request of the flow to its answer. Those
-// later than the target were recorded when it passed.
-func (f *flow) recordSpillAnswer(now, took time.Duration) {
+// recordSpillAnswer records the time to a complete answer that is not undersized: errors
+// come fast. Late ones were recorded before.
+func (f *flow) recordSpillAnswer(now time.Duration) {
 	if p := f.service.spill; p != nil && !f.pastTarget {
-		p.controller.RecordAnswer(now, f.endpoint.Entry.Domain, took, f.valuable())
+		p.controller.RecordAnswer(now, f.endpoint.Entry.Domain, f.answerTime, f.valuable())
 	}
 }
 
@@ -170,9 +182,10 @@
 	}
 }
 
-// recordSpillLate records that the target of a waiting request has passed.
+// recordSpillLate records that a waiting request is about to become overdue or to pass its
+// target, whichever comes first.
 func (r *Relay) recordSpillLate(now time.Duration, f *flow) {
-	if p := f.service.spill; p != nil && !r.lagging && !f.startUnknown {
+	if p := f.service.spill; p != nil && !r.lagging && !f.startUnknown && !f.overdue && !f.pastTarget {
 		p.controller.RecordLate(now, f.endpoint.Entry.Domain, f.valuable())
 	}
 }
--- a/internal/relay/spillover_test.go
+++ b/internal/relay/spillover_test.go
@@ -84,7 +84,8 @@
 }
 
 // TestSpilloverWithoutHome guards against flows that are refused or kept at home where no
-// endpoint takes them: none is listed, or the SYNs to most of them are unanswered.
+// endpoint is of use: none is listed, the SYNs to most of them are unanswered, or all fail
+// requests.
 func TestSpilloverWithoutHome(t *testing.T) {
 	r := newSpilloverHarness(t, 0, 4)
 	require.True(t, r.timedFlow(1, make([]byte, 40), 0, 20*ms))
@@ -104,4 +105,13 @@
 	}
 	require.Greater(t, left, 8)
 	require.Equal(t, int64(left), r.relay.Spillover(r.now)[0].Left[DepartSuspect])
+
+	r = newSpilloverHarness(t, 2, 4)
+	for _, e := range r.relay.endpoints {
+		for range 20 {
+			e.RecordOutcome(r.now, e.Entry.Domain == "d", &r.relay.services["s"].observed)
+		}
+	}
+	require.True(t, r.timedFlow(1, make([]byte, 40), 0, 20*ms))
+	require.Equal(t, int64(1), r.relay.Spillover(r.now)[0].Left[DepartFailing])
 }
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -128,13 +128,14 @@
 	}
 	overdueAt := f.requestAt + f.service.observed.OverdueAfter()
 	if f.waiting && !f.startUnknown && !f.overdue && now >= overdueAt {
+		r.recordSpillLate(now, f)
 		f.overdue = true
 		f.count()
 		r.recordOutcome(now, f, true)
 	}
 	if f.waiting && !f.pastTarget && now >= f.requestAt+f.valuable() {
-		f.pastTarget = true
 		r.recordSpillLate(now, f)
+		f.pastTarget = true
 		f.count()
 	}
 	idleAt := f.lastSeen + r.idleTimeout()
--- a/internal/spillover/spillover.go
+++ b/internal/spillover/spillover.go
@@ -119,7 +119,7 @@
 	if d == nil {
 		return
 	}
-	d.alive()
+	d.unanswered, d.cutOffUntil = 0, 0
 	if d.roundTrip == 0 {
 		d.roundTrip = float64(took)
 		return
@@ -127,19 +127,15 @@
 	d.roundTrip += roundTripSmoothing * (float64(took) - d.roundTrip)
 }
 
-// alive records that an endpoint of the domain has shown that it is alive.
-func (d *domain) alive() { d.unanswered, d.cutOffUntil = 0, 0 }
-
 // RecordAnswer records the time from a request to its answer. Times beyond the route's
 // target count as the target: they are equally late.
 func (c *Controller) RecordAnswer(now time.Duration, name string, took, target time.Duration) {
 	if d := c.domain(name); d != nil {
-		d.alive()
 		c.recordTime(now, d, took, target)
 	}
 }
 
-// RecordLate records a request without an answer within the route's target. Requests that
+// RecordLate records a request whose answer comes late or not at all. Requests that
 // were sent to a domain before it was cut off say nothing about its endpoints.
 func (c *Controller) RecordLate(now time.Duration, name string, target time.Duration) {
 	if d := c.domain(name); d != nil && d.unanswered < cutOffSYNs {
