spillover: Keep base and distances when observations are discarded

Cause: a small host that lags at each peak would forget the time of an answer that did not wait, learn it anew under load, and take the load for the usual one. Change: Reset discards the answer times, the cut-off domains and the share; a test restarts hosts with new controllers and resets them besides.

--- a/internal/spillover/model_test.go
+++ b/internal/spillover/model_test.go
@@ -54,17 +54,22 @@
 	for _, name := range m.domains {
 		var hosts []*Controller
 		for range hostsPerDomain {
-			c := New(name)
-			for _, d := range m.domains {
-				c.AddSlots(d, 2*endpointsPerDomain)
-			}
-			hosts = append(hosts, c)
+			hosts = append(hosts, m.newHost(name))
 		}
 		m.hosts = append(m.hosts, hosts)
 	}
 	return m
 }
 
+// newHost returns a host of a domain that knows nothing.
+func (m *model) newHost(domain string) *Controller {
+	c := New(domain)
+	for _, d := range m.domains {
+		c.AddSlots(d, 2*endpointsPerDomain)
+	}
+	return c
+}
+
 // run plays a span and returns what was counted in it.
 func (m *model) run(span time.Duration) result {
 	m.result = result{}
--- a/internal/spillover/spillover.go
+++ b/internal/spillover/spillover.go
@@ -22,6 +22,9 @@
 	maxCutOff = 8 * time.Second
 	// unknownDistance is the additional round trip that is assumed until it was measured.
 	unknownDistance = 5 * time.Millisecond
+	// minRoundTrips are those of the handshake, and of the request with the first part of
+	// the answer.
+	minRoundTrips = 2.0
 	// windowBytes is what an endpoint sends of an answer in one round trip: 16 packets
 	// of 1,200 bytes.
 	windowBytes = 16 * 1200
@@ -65,20 +68,24 @@
 
 // New returns a controller for a host of the given failure domain, which knows nothing.
 func New(home string) *Controller {
-	c := &Controller{}
-	c.home.name = home
-	c.Reset()
-	return c
+	return &Controller{home: domain{name: home}, roundTrips: minRoundTrips}
 }
 
-// Reset discards what was learned. Domains and their slots stay.
+// Reset discards what was learned of present loads, after a time in which the host itself
+// has delayed answers. The base and the distances stay: they change slowly, and a base
+// that is learned under load is too long.
 func (c *Controller) Reset() {
-	revision := c.revision + 1
-	home, remote := domain{name: c.home.name, slots: c.home.slots}, c.remote
-	for i := range remote {
-		remote[i] = domain{name: remote[i].name, slots: remote[i].slots, allowed: remote[i].slots > 0}
+	c.home.forget()
+	for i := range c.remote {
+		c.remote[i].forget()
 	}
-	*c = Controller{home: home, remote: remote, revision: revision, roundTrips: 2}
+	c.remoteWork, c.share = average{}, 0
+}
+
+// forget discards what was learned of a domain's load.
+func (d *domain) forget() {
+	d.work, d.answeredAt = average{}, 0
+	d.unanswered, d.cutOffUntil = 0, 0
 }
 
 // ClearSlots sets the number of usable slots of all domains to 0, before AddSlots.
@@ -183,7 +190,7 @@
 
 // RecordSize records the size of an answer.
 func (c *Controller) RecordSize(bytes uint32) {
-	needed := 1 + max(1, math.Ceil(float64(bytes)/windowBytes))
+	needed := minRoundTrips - 1 + max(1, math.Ceil(float64(bytes)/windowBytes))
 	c.roundTrips += sizeSmoothing * (needed - c.roundTrips)
 }
 
--- a/internal/spillover/spillover_test.go
+++ b/internal/spillover/spillover_test.go
@@ -152,13 +152,14 @@
 }
 
 // TestRestart guards against hosts that know nothing and send many flows away, or that
-// take the answers of a full home for the usual ones and never send any.
+// take the answers of a full home for the usual ones and never send any. After a pause of
+// the host only the present loads are unknown.
 func TestRestart(t *testing.T) {
 	m := newModel(1, 4, jump(time.Hour))
 	m.run(14 * time.Second)
-	for _, hosts := range m.hosts {
-		for _, c := range hosts {
-			c.Reset()
+	for d, hosts := range m.hosts {
+		for i := range hosts {
+			hosts[i] = m.newHost(m.domains[d])
 		}
 	}
 	require.Zero(t, m.share(0))
@@ -167,6 +168,12 @@
 	m.run(4 * time.Second)
 	require.Greater(t, m.share(0), 0.15)
 	require.Less(t, m.share(1)+m.share(2)+m.share(3), 0.06)
+	for _, c := range m.hosts[0] {
+		c.Reset()
+	}
+	require.Zero(t, m.share(0))
+	m.run(2 * time.Second)
+	require.Greater(t, m.share(0), 0.1)
 }
 
 // TestSlots guards against a share beyond the other domains' part of the slots, and
