relay: Place flows by cost when the best home endpoint is cold

Cause: with spillover a flow that stays saw only home endpoints, so that after an evacuation all flows went to cold endpoints, which costs avoided before. Change: if the cheapest home endpoint is cold, full or failing, the flow is placed among all endpoints by cost, as without spillover, and counted by that reason.

--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -22,16 +22,20 @@
 	DepartFull
 	// DepartFailing: all endpoints of the host's domain fail requests.
 	DepartFailing
+	// DepartCold: the cheapest endpoint of the host's domain is cold.
+	DepartCold
 	// DepartFailover: the SYN failed over to another endpoint.
 	DepartFailover
 	departures
+	// stays is not a reason: the flow is placed in the host's domain.
+	stays
 )
 
 // maxHomeFailureShare is the share of failed requests, in excess of the service's, from
 // which a flow does not stay at the best endpoint of the host's domain.
 const maxHomeFailureShare = 0.1
 
-var departureNames = [departures]string{"spillover", "no_home", "suspect", "full", "failing", "failover"}
+var departureNames = [departures]string{"spillover", "no_home", "suspect", "full", "failing", "cold", "failover"}
 
 // String returns the reason's name in metrics.
 func (d Departure) String() string { return departureNames[d] }
@@ -96,21 +100,34 @@
 	if sv.spill == nil {
 		return choice
 	}
-	if e := choice.Endpoint; reason == DepartFull && !choice.Trial {
-		failing := e.ExcessFailureShare(now, &sv.observed) >= maxHomeFailureShare
-		if failing {
-			reason = DepartFailing
-		}
-		if failing || !e.Free() {
+	if reason == stays && !choice.Trial {
+		// A trial is not repeated: its endpoint waits for the result.
+		if reason = sv.homeDefect(now, choice.Endpoint); reason != stays {
 			choice = r.options.Choose(request, &sv.observed, sv.candidates)
 		}
 	}
-	sv.spill.count(choice.Endpoint, reason)
+	if reason != stays {
+		sv.spill.count(choice.Endpoint, reason)
+	}
 	return choice
 }
 
+// homeDefect returns why a flow should not simply stay at the best endpoint of the host's
+// domain, or stays.
+func (sv *service) homeDefect(now time.Duration, e *balance.Endpoint) Departure {
+	switch {
+	case !e.Free():
+		return DepartFull
+	case now < e.Entry.WarmAt:
+		return DepartCold
+	case e.ExcessFailureShare(now, &sv.observed) >= maxHomeFailureShare:
+		return DepartFailing
+	}
+	return stays
+}
+
 // spillCandidates returns the endpoints among which a new flow is placed, and the reason
-// if it is placed in another domain: DepartFull for a flow that stays.
+// if it is placed in another domain.
 func (r *Relay) spillCandidates(now time.Duration, sv *service, hash uint64) ([]*balance.Endpoint, Departure) {
 	p := sv.spill
 	leaves := p.controller.Leaves(now, hash)
@@ -124,7 +141,7 @@
 	case leaves && mostlyAnswer(p.remote):
 		return p.remote, DepartSpillover
 	case mostlyAnswer(p.home):
-		return p.home, DepartFull
+		return p.home, stays
 	}
 	return sv.candidates, DepartSuspect
 }
--- a/internal/relay/spillover_test.go
+++ b/internal/relay/spillover_test.go
@@ -84,8 +84,8 @@
 }
 
 // TestSpilloverWithoutHome guards against flows that are refused or kept at home where no
-// endpoint is of use: none is listed, the SYNs to most of them are unanswered, or all fail
-// requests.
+// endpoint is of use: none is listed, the SYNs to most of them are unanswered, all fail
+// requests, or all are cold, as after an evacuation.
 func TestSpilloverWithoutHome(t *testing.T) {
 	r := newSpilloverHarness(t, 0, 4)
 	require.True(t, r.timedFlow(1, make([]byte, 40), 0, 20*ms))
@@ -114,4 +114,13 @@
 	}
 	require.True(t, r.timedFlow(1, make([]byte, 40), 0, 20*ms))
 	require.Equal(t, int64(1), r.relay.Spillover(r.now)[0].Left[DepartFailing])
+
+	r = newSpilloverHarness(t, 2, 4)
+	for _, e := range r.relay.endpoints {
+		if e.Entry.Domain == "d" {
+			e.Entry.WarmAt = r.now + time.Second
+		}
+	}
+	require.True(t, r.timedFlow(1, make([]byte, 40), 0, 20*ms))
+	require.Equal(t, int64(1), r.relay.Spillover(r.now)[0].Left[DepartCold])
 }
