Merge spillover: which share of new flows leaves the domain

Candidates that are left out, as cold ones, and spillover meet in Relay.choose; Explain plays the same code on copies. The events of spillover are 8021 and 8022.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -25,6 +25,8 @@
 	HostLagging
 	HostNotLagging
 	EndpointPresumedCold
+	SpilloverStarted
+	SpilloverEnded
 )
 
 var relayArea = Area{
@@ -51,6 +53,8 @@
 		{HostLagging, slog.LevelWarn, "host is lagging: packets wait in its socket for too long", "Check the host's CPU load; routers stop using the host while it does not answer them."},
 		{HostNotLagging, slog.LevelInfo, "host is no longer lagging", "None."},
 		{EndpointPresumedCold, slog.LevelInfo, "endpoint may have restarted; counts as cold", "None after a restart; otherwise SYNs are lost, see event 8001 of the same endpoint."},
+		{SpilloverStarted, slog.LevelInfo, "some new flows leave the failure domain, whose endpoints answer later than others", "None for some seconds; if it lasts, the domain has too few endpoints for its callers."},
+		{SpilloverEnded, slog.LevelInfo, "new flows stay in the failure domain again", "None."},
 	},
 }
 
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -32,6 +32,9 @@
 	CauseLowestCost = "lowest_cost"
 	// CauseTrial: the endpoint's suspicion has expired, and the flow tests it.
 	CauseTrial = "trial"
+	// CauseSpillover: the flow belongs to the share that leaves the host's domain, and the
+	// endpoint has the lowest cost of those that it may go to.
+	CauseSpillover = "spillover"
 	// CauseSuspect: the endpoint is suspect, but there is no other, or all others cost
 	// much more.
 	CauseSuspect = "suspect"
@@ -120,6 +123,7 @@
 	// The decision is made on a copy of the service, with its window, and on a flow that
 	// is not in the table, so that what it records is discarded.
 	trial := *sv
+	trial.spill = sv.spill.clone()
 	added := &flow{
 		key: key, service: &trial, startedAt: now,
 		route: route.Name, timeout: route.Timeout, target: route.TargetLatency,
@@ -170,7 +174,8 @@
 
 // explainOpen sets the outcome for a flow that is placed at once; see Relay.open.
 func (r *Relay) explainOpen(now time.Duration, x *Explanation, f *flow, route *catalog.Route) {
-	c := balance.Preview(r.request(now, f), &f.service.observed, r.candidates(now, f.service))
+	left := f.service.departed(DepartSpillover)
+	c := r.choose(now, f, r.candidates(now, f.service), balance.Preview)
 	if !r.admits(route, c) {
 		x.decide(OutcomeRefused, RejectOverload.String())
 		return
@@ -179,6 +184,8 @@
 	switch {
 	case c.Trial:
 		x.decide(OutcomePlaced, CauseTrial)
+	case f.service.departed(DepartSpillover) > left:
+		x.decide(OutcomePlaced, CauseSpillover)
 	case c.Endpoint.UnansweredSYNs() > 0:
 		x.decide(OutcomePlaced, CauseSuspect)
 	default:
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -128,6 +128,7 @@
 	if f.tries == 1 && winner == f.tried[0] && !r.lagging {
 		r.handshakeTimeout.addSample(took)
 		r.options.Observer.Accepted(took)
+		f.recordSpillHandshake(took)
 	}
 	r.recordAlive(now, f)
 	r.recordFailovers(now, f)
@@ -209,10 +210,12 @@
 	if !f.answerFromKnown || f.overdue || f.acknowledged == f.answerFrom {
 		return
 	}
+	f.recordSpillSize(f.acknowledged - f.answerFrom)
 	small := r.sizesOf(f.key.Destination).RecordSize(f.acknowledged - f.answerFrom)
 	r.recordOutcome(now, f, small)
 	f.answerFromKnown = false
 	if f.answerTime > 0 && !small {
+		f.recordSpillAnswer(now)
 		sv := f.service
 		sv.window.RecordAnswer(now, f.answerTime, f.valuable(), sv.inFlight, r.fairLimit(sv))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,12 @@
 	// Choose picks endpoints for new flows; nil means balance.Choose.
 	// Experiments set others as baselines.
 	Choose func(balance.Request, *balance.Service, []*balance.Endpoint) balance.Choice
+	// Spillover decides for each service which share of its new flows leaves the
+	// domain; without it, endpoints of other domains only cost more.
+	Spillover bool
+	// SpilloverChanged is called when the share of a service leaves 0 and when it is 0
+	// again; it may be nil and must not block.
+	SpilloverChanged func(now time.Duration, s SpilloverState)
 	// Disabled turns features off, so that tests can show their effect.
 	Disabled Features
 }
@@ -131,6 +137,8 @@
 	// shares divides the releases among the held flows' routes; nil means that they go
 	// by the order of all held flows.
 	shares *fairshare.Shares
+	// spill decides which new flows leave the domain; nil if spillover is off.
+	spill *spill
 }
 
 // New returns a Relay without a view, started at the given time.
@@ -203,6 +211,9 @@
 			s.slots += max(entry.Slots, 1)
 		}
 	}
+	for _, s := range r.services {
+		s.spill.update(s.candidates)
+	}
 	if len(v.EvacuatedDomains()) == 0 {
 		return
 	}
@@ -217,7 +228,7 @@
 func (r *Relay) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name, window: r.newWindow(r.started)}
+		s = &service{name: name, window: r.newWindow(r.started), spill: r.newSpill()}
 		if r.options.RouteShares {
 			s.shares = &fairshare.Shares{}
 		}
@@ -259,6 +270,7 @@
 	for _, s := range r.services {
 		s.observed = balance.Service{}
 		s.window = r.newWindow(now)
+		s.spill.reset()
 	}
 	r.handshakeTimeout = newHandshakeTimeout()
 	r.forgetSilence()
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -110,7 +110,8 @@
 		r.reject(now, p, 0, RejectCold)
 		return
 	}
-	p.Choice = r.options.Choose(r.request(now, f), &f.service.observed, candidates)
+	p.Choice = r.choose(now, f, candidates, r.options.Choose)
+	r.notifySpillover(now, f.service)
 	p.Endpoint = p.Choice.Endpoint.Entry
 	if !r.admits(route, p.Choice) {
 		r.removeFlow(f)
@@ -204,6 +205,7 @@
 	f.detach()
 	r.tryEndpoint(now, f, p.Choice.Endpoint, frame)
 	r.stats.FailedOver++
+	f.service.spill.count(f.endpoint, DepartFailover)
 	p.Try = f.tries
 	p.Endpoint = p.Choice.Endpoint.Entry
 	r.options.Observer.Placed(now, p)
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -77,6 +77,7 @@
 // request counts as failed at the first one, unless that one was alive for other
 // callers since: then the caller had gone before.
 func (r *Relay) recordUnansweredSYN(now time.Duration, f *flow) {
+	r.recordSpillUnanswered(now, f)
 	if f.tries == 1 {
 		f.endpoint.RecordUnansweredSYN(now, f.sentAt, &f.service.observed)
 		r.options.Observer.Suspected(now, f.key, f.endpoint, now-f.sentAt)
@@ -127,11 +128,13 @@
 	}
 	overdueAt := f.requestAt + f.service.observed.OverdueAfter()
 	if f.waiting && !f.startUnknown && !f.overdue && now >= overdueAt {
+		r.recordSpillLate(now, f)
 		f.overdue = true
 		f.count()
 		r.recordOutcome(now, f, true)
 	}
 	if f.waiting && !f.pastTarget && now >= f.requestAt+f.valuable() {
+		r.recordSpillLate(now, f)
 		f.pastTarget = true
 		f.count()
 	}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -130,6 +130,9 @@
 			Bounds:     coldstart.Bounds{Factor: d.settings.Bounds.ColdFactor, Allowance: d.settings.Bounds.ColdAllowance},
 		},
 		RouteShares: d.settings.Placement.RouteShares,
+		Spillover:   d.settings.Placement.Spillover,
+
+		SpilloverChanged: d.traffic.observer.spilloverChanged,
 	}, d.clock.Monotonic())
 	d.control.onPublish = d.traffic.wake
 	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, aggregator: outlier.NewAggregator()}
@@ -160,6 +163,7 @@
 		updateRelayGauges(d.registry, &stats)
 		updateColdGauges(d.registry, d.traffic.relay, d.clock.Monotonic())
 		updateRouteGauges(d.registry, d.traffic.relay.RouteCounts())
+		updateSpilloverGauges(d.registry, d.traffic.relay.Spillover(d.clock.Monotonic()))
 	})
 }
 
