site, soak: Shift callers between domains, and play bursts of one route

Cause: in the new deployments callers move between domains, and requests of one kind come in bursts of 2.5; the soak played an even load only.

--- a/standin/site/caller.go
+++ b/standin/site/caller.go
@@ -77,30 +77,6 @@
 	}
 }
 
-// startRequests starts the requests that are due since the last call at the
-// configured rate, if the load is on.
-func (s *Site) startRequests(now time.Duration) {
-	elapsed := now - s.lastTick
-	s.lastTick = now
-	if !s.loadOn {
-		return
-	}
-	for s.dueRequests += elapsed.Seconds() * s.Options.Rate; s.dueRequests >= 1; s.dueRequests-- {
-		s.requests++
-		draw := s.rng.Float64()
-		k := &classes[0]
-		for i := range classes {
-			k = &classes[i]
-			if draw -= k.share; draw < 0 {
-				break
-			}
-		}
-		r := &request{class: k, id: s.requests, started: now}
-		s.Result.started(now)
-		s.callers[s.rng.IntN(len(s.callers))].startAttempt(r)
-	}
-}
-
 // startAttempt opens a flow for the request.
 func (c *caller) startAttempt(r *request) {
 	r.attempts++
--- a/standin/site/result.go
+++ b/standin/site/result.go
@@ -80,10 +80,12 @@
 }
 
 // RecordFault records a fault for the report, with the current time.
-func (s *Site) RecordFault(text string) {
+func (s *Site) RecordFault(text string) { s.recordFault(s.now(), text) }
+
+func (s *Site) recordFault(now time.Duration, text string) {
 	s.Result.mu.Lock()
 	defer s.Result.mu.Unlock()
-	s.Result.Faults = append(s.Result.Faults, fmt.Sprintf("%7.3f s  %s", s.now().Seconds(), text))
+	s.Result.Faults = append(s.Result.Faults, fmt.Sprintf("%7.3f s  %s", now.Seconds(), text))
 }
 
 // Total returns the sum over all seconds.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -111,6 +111,7 @@
 	loadOn bool
 	// boundsSuspendedUntil is when checks with time bounds apply again.
 	boundsSuspendedUntil time.Duration
+	demand               demand
 	wait                 sync.WaitGroup
 	done                 chan struct{}
 	servers              []*http.Server
@@ -154,7 +155,7 @@
 				return err
 			}
 		}
-		for i := range 4 {
+		for i := range callersPerDomain {
 			if err := s.addCaller(d, i); err != nil {
 				return err
 			}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -92,8 +92,17 @@
 	{"kill-again", true, killAgain},
 	{"stop-all-in-turn", false, stopInTurn},
 	{"store-restored", true, restoreStore},
+	{"callers-shift", false, func(s *site.Site, f Fault) {
+		s.ShiftCallers(f.Target, float64(f.Level)/100, f.Span)
+	}},
+	{"route-burst", false, func(s *site.Site, f Fault) {
+		s.Burst(f.Target, minBurst+float64(f.Level)/40, f.Span)
+	}},
 }
 
+// minBurst is the least factor of a burst of requests of one route.
+const minBurst = 2.5
+
 // restoreStore makes the store silent for a part of the span and then brings it back
 // from a copy that is up to 5 s old.
 func restoreStore(s *site.Site, f Fault) {
