site, soak: Play evacuations and cold starts, and check their two rules

Change: four kinds of evacuations, whose keys the operator writes and removes until the store accepts it, also after a restore; two kinds in which the endpoints of a domain come back cold, not drawn while drawColdStarts is off. SYNs to an evacuated domain are checked where hosts send them, host by host: only hosts that are paused or separated from the store are left out. New flows at cold endpoints are counted where they open. Store.Remove fails while the store is busy or silent, as Put does; a drained endpoint's entry then lapses. Result: TestLateEvacuation and TestColdEndpointOverLimit see the faults; the first fails if the violation is not recorded.

--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -198,15 +198,20 @@
 	return true
 }
 
-// Remove deletes a key.
-func (s *Store) Remove(key string) {
+// Remove deletes a key as the operator or an endpoint does. It returns false while the
+// store is busy or silent.
+func (s *Store) Remove(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.faults.Busy || s.faults.Silent {
+		return false
+	}
 	if _, ok := s.items[key]; ok {
 		s.revision++
 		s.remove(key)
 		s.notify()
 	}
+	return true
 }
 
 // notify wakes all watches.
--- a/standin/site/demand_test.go
+++ b/standin/site/demand_test.go
@@ -16,7 +16,7 @@
 func loadOnly() *Site {
 	s := &Site{
 		Options: Options{Domains: 2, Rate: 100}, Result: newResult(), started: time.Now(), loadOn: true,
-		rng: rand.New(rand.NewPCG(1, 3)),
+		rng: rand.New(rand.NewPCG(1, 3)), evacuations: make(map[string]*evacuation),
 	}
 	for i := range 2 * callersPerDomain {
 		s.callers = append(s.callers, &caller{
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -28,6 +28,11 @@
 	startedAtMs int64 // Unix time
 	// checksSuspendedUntil is when the checks of its flows apply again after a fault.
 	checksSuspendedUntil time.Duration
+	cold                 coldStart
+	// entryDelay is the time from the end of a crash until the entry is written again,
+	// registersAt when that is.
+	entryDelay  time.Duration
+	registersAt time.Duration
 }
 
 // entry is an endpoint's entry in the store; its fields are encoded by name.
@@ -38,7 +43,7 @@
 	Version         string
 	Slots           int
 	State           string
-	ColdRemainingMs int
+	ColdRemainingMs int64
 	Sequence        int
 	Born            int64 `json:"born"`
 }
@@ -47,6 +52,16 @@
 func (s *Site) AddEndpoint(service, domain string) (*Endpoint, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	e, err := s.addEndpoint(service, domain)
+	if err == nil {
+		e.startCold()
+		e.register()
+	}
+	return e, err
+}
+
+// addEndpoint starts an endpoint that is warm and not registered.
+func (s *Site) addEndpoint(service, domain string) (*Endpoint, error) {
 	n := len(s.endpoints) + 1
 	own := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, byte(n >> 8), byte(n)}), uint16(s.Options.Port))
 	proxy := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 6, byte(n >> 8), byte(n)}), uint16(s.Options.Port))
@@ -65,8 +80,10 @@
 		site:     s, id: fmt.Sprintf("i-%x", n+0x1000), domain: domain, conn: conn, startedAtMs: time.Now().UnixMilli(),
 	}
 	s.endpoints = append(s.endpoints, e)
-	e.register()
 	s.wait.Go(e.read)
+	s.wait.Go(func() {
+		link.run(func(from netip.AddrPort, datagram []byte) { s.checkEvacuation(e, from, datagram) })
+	})
 	return e, nil
 }
 
@@ -86,7 +103,11 @@
 		}
 		packet := append([]byte(nil), b[platform.RecipientBytes:n]...)
 		e.site.mu.Lock()
-		e.send(e.Receive(e.site.now(), recipient, packet))
+		now, before := e.site.now(), e.Flows()
+		e.send(e.Receive(now, recipient, packet))
+		if e.Flows() > before {
+			e.countNewFlow(now)
+		}
 		e.site.mu.Unlock()
 	}
 }
@@ -106,7 +127,7 @@
 // register writes the store entry, or renews it if it is unchanged. It expires
 // after three heartbeats.
 func (e *Endpoint) register() {
-	if e.removed || e.Down {
+	if e.removed || e.Down || e.site.now() < e.registersAt {
 		return
 	}
 	state := "ready"
@@ -115,7 +136,7 @@
 	}
 	value, err := json.Marshal(entry{
 		Service: e.Service, Address: e.Link.Address.String(), Zone: e.domain, Version: "v1", Slots: e.Slots,
-		State: state, Born: e.startedAtMs,
+		State: state, Born: e.startedAtMs, ColdRemainingMs: e.coldRemaining().Milliseconds(),
 	})
 	if err != nil {
 		panic(err) // all fields of the entry can be marshaled
@@ -164,6 +185,8 @@
 		defer e.site.mu.Unlock()
 		e.Down = false
 		e.startedAtMs = time.Now().UnixMilli()
+		e.startCold()
+		e.registersAt, e.entryDelay = e.site.now()+e.entryDelay, 0
 		e.register()
 	})
 }
--- a/standin/site/host.go
+++ b/standin/site/host.go
@@ -45,6 +45,8 @@
 	probed       bool // has passed a probe since the site was started
 	// failures counts unexpected exits.
 	failures int
+	// evacuationsSuspendedUntil is when the check of evacuations applies again.
+	evacuationsSuspendedUntil time.Duration
 }
 
 // addHost starts the next host of domain d with its proxies.
@@ -57,6 +59,7 @@
 	if err != nil {
 		return err
 	}
+	s.wait.Go(func() { packets.run(nil) })
 	store, err := s.newStreamLink(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 7, byte(d), byte(n)}), port+8),
 		netip.MustParseAddrPort(s.storeAddress()))
 	if err != nil {
@@ -97,8 +100,12 @@
 heartbeat = %q
 configuration = %q
 drain = %q
+evacuation = %q
+cold_factor = %v
+cold_allowance = %v
 stop = %q
-`, h.Name, domain(h.domain), h.site.seeds(), packets, ready, feed, h.Feed.Address, admin, h.Store.Address, heartbeat, ConfigBound, DrainBound, StopBound)
+`, h.Name, domain(h.domain), h.site.seeds(), packets, ready, feed, h.Feed.Address, admin, h.Store.Address, heartbeat, ConfigBound, DrainBound,
+		EvacuationBound, coldFactor, coldAllowance, StopBound)
 }
 
 // feedProxyAddress returns the address at which other hosts reach the feed of host
--- a/standin/site/link.go
+++ b/standin/site/link.go
@@ -37,15 +37,13 @@
 	impairment Impairment
 }
 
-// newPacketLink starts a proxy that listens at address.
+// newPacketLink returns a proxy that listens at address; run runs it.
 func (s *Site) newPacketLink(address, target netip.AddrPort) (*PacketLink, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, merry.Prepend(err, "listen on a proxy address")
 	}
-	l := &PacketLink{Address: address, target: target, conn: conn}
-	s.wait.Go(l.run)
-	return l, nil
+	return &PacketLink{Address: address, target: target, conn: conn}, nil
 }
 
 // Set impairs the link for a span.
@@ -60,13 +58,18 @@
 	})
 }
 
-func (l *PacketLink) run() {
+// run forwards datagrams until the link is closed. It calls received, unless that is nil,
+// with each one and its sender.
+func (l *PacketLink) run(received func(from netip.AddrPort, datagram []byte)) {
 	b := make([]byte, 2048)
 	for {
-		n, err := l.conn.Read(b)
+		n, from, err := l.conn.ReadFromUDPAddrPort(b)
 		if err != nil {
 			return
 		}
+		if received != nil {
+			received(from, b[:n])
+		}
 		l.mu.Lock()
 		imp := l.impairment
 		l.mu.Unlock()
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -42,6 +42,9 @@
 	Endpoints int
 	// Rate is the load in requests per second.
 	Rate float64
+	// ColdStarts makes endpoints that start during the run cold, with a limit on their
+	// new flows.
+	ColdStarts bool
 }
 
 // Names of the services.
@@ -111,6 +114,7 @@
 	loadOn bool
 	// boundsSuspendedUntil is when checks with time bounds apply again.
 	boundsSuspendedUntil time.Duration
+	evacuations          map[string]*evacuation // by failure domain
 	demand               demand
 	wait                 sync.WaitGroup
 	done                 chan struct{}
@@ -129,6 +133,8 @@
 		key:     ends.Key(o.Seed*2 + 1),
 		ledger:  ends.NewLedger(),
 		done:    make(chan struct{}),
+
+		evacuations: make(map[string]*evacuation),
 	}
 	if err := s.start(); err != nil {
 		s.Close()
@@ -144,9 +150,11 @@
 	s.Configure()
 	for i := range s.Options.Endpoints {
 		for _, service := range []string{serviceMain, serviceOther} {
-			if _, err := s.AddEndpoint(service, domain(i%s.Options.Domains)); err != nil {
+			e, err := s.addEndpoint(service, domain(i%s.Options.Domains))
+			if err != nil {
 				return err
 			}
+			e.register()
 		}
 	}
 	for d := range s.Options.Domains {
@@ -163,6 +171,7 @@
 	}
 	s.background(5*time.Millisecond, s.tick)
 	s.background(heartbeat, s.renewEntries)
+	s.background(operatorInterval, s.operate)
 	s.background(500*time.Millisecond, s.probe)
 	return nil
 }
@@ -216,13 +225,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version := s.version + 1 + s.rng.Uint64N(3)
-	if s.Store.Put("op/config", []byte(configuration(version)), 0) {
+	if s.Store.Put("op/config", []byte(s.configuration(version)), 0) {
 		s.version = version
 	}
 }
 
 // operatorDelay is how long after a restore of the store the operator writes its
-// configuration again; endpoints do so with their next heartbeat.
+// configuration and evacuations again; endpoints do so with their next heartbeat.
 const operatorDelay = 700 * time.Millisecond
 
 // RestoreStore brings the store back from a copy of the given age.
@@ -231,12 +240,13 @@
 	time.AfterFunc(operatorDelay, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.Store.Put("op/config", []byte(configuration(s.version)), 0)
+		s.Store.Put("op/config", []byte(s.configuration(s.version)), 0)
+		s.reviewEvacuations()
 	})
 }
 
 // configuration returns the JSON of a version; each has a route of its own.
-func configuration(version uint64) string {
+func (s *Site) configuration(version uint64) string {
 	text := fmt.Sprintf(`{"Version":%d,"Routes":[`, version)
 	for i, c := range classes {
 		kind := "safe"
@@ -248,8 +258,12 @@
 	}
 	text += fmt.Sprintf(`{"Name":"v","Hostname":"198.18.0.9","Prefix":"/%d/","RouteType":"safe","TimeoutMs":500,`+
 		`"TargetLatencyMs":200,"Priority":2,"Service":"other"}],`, 1000+version%1000)
-	return text + `"Services":[{"Name":"main","HealthCheckPath":"/h","MaxConnections":2000},` +
-		`{"Name":"other","HealthCheckPath":"/h","MaxConnections":2000}],"Limits":{"IdleTimeoutMs":15000}}`
+	cold := ""
+	if s.Options.ColdStarts {
+		cold = fmt.Sprintf(`,"ColdStartS":%v,"ColdPerS":%v`, coldFor.Seconds(), coldPerSecond)
+	}
+	return text + `"Services":[{"Name":"main","HealthCheckPath":"/h","MaxConnections":2000` + cold + `},` +
+		`{"Name":"other","HealthCheckPath":"/h","MaxConnections":2000` + cold + `}],"Limits":{"IdleTimeoutMs":15000}}`
 }
 
 // Version returns the newest version of the configuration that the store accepted.
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -81,7 +81,7 @@
 	}
 	s, err := site.New(site.Options{
 		Daemon: o.Daemon, Dir: dir, Port: o.Port, Seed: schedule.Seed,
-		Domains: o.Domains, Hosts: o.Hosts, Endpoints: 6, Rate: o.Rate,
+		Domains: o.Domains, Hosts: o.Hosts, Endpoints: 6, Rate: o.Rate, ColdStarts: schedule.coldStarts(),
 	})
 	if err != nil {
 		return report, err
@@ -103,6 +103,9 @@
 		if k.suspendsBounds {
 			s.SuspendBounds(f.Span)
 		}
+		for _, h := range separated(s, f) {
+			h.SuspendEvacuations(f.Span)
+		}
 		s.RecordFault(f.String())
 		k.inject(s, f)
 		faultsEnd = max(faultsEnd, f.At+f.Span)
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -14,6 +15,11 @@
 	"toucangap/standin/site"
 )
 
+// drawColdStarts is the switch for drawn schedules in which endpoints start cold: with it,
+// the kinds of coldKinds are drawn, and all endpoints that start during a run are cold and
+// checked. It is off until hosts limit the new flows at cold endpoints (docs/SOAK.md).
+const drawColdStarts = false
+
 // Fault is one fault of a schedule.
 type Fault struct {
 	// At is the time since the start of the load.
@@ -41,8 +47,8 @@
 	inject         func(s *site.Site, f Fault)
 }
 
-// kinds lists all kinds of faults. Append new ones: the schedule of a seed depends
-// on the order, and also on the number.
+// kinds lists the kinds of faults that are always drawn. Append new ones: the schedule of
+// a seed depends on the order, and also on the number.
 var kinds = []kind{
 	{"stop", false, stopHost},
 	{"kill", true, func(s *site.Site, f Fault) { host(s, f).Signal(syscall.SIGKILL) }},
@@ -92,6 +98,10 @@
 	{"kill-again", true, killAgain},
 	{"stop-all-in-turn", false, stopInTurn},
 	{"store-restored", true, restoreStore},
+	{"evacuate", false, func(s *site.Site, f Fault) { s.Evacuate(domain(s, f.Target), f.Span) }},
+	{"evacuate-several", false, evacuateSeveral},
+	{"evacuate-unknown", false, func(s *site.Site, f Fault) { s.Evacuate("no-such-domain", f.Span) }},
+	{"evacuate-unstable", false, evacuateUnstable},
 	{"callers-shift", false, func(s *site.Site, f Fault) {
 		s.ShiftCallers(f.Target, float64(f.Level)/100, f.Span)
 	}},
@@ -100,9 +110,6 @@
 	}},
 }
 
-// minBurst is the least factor of a burst of requests of one route.
-const minBurst = 2.5
-
 // restoreStore makes the store silent for a part of the span and then brings it back
 // from a copy that is up to 5 s old.
 func restoreStore(s *site.Site, f Fault) {
@@ -149,8 +156,9 @@
 
 // kindNamed returns the kind with the name. It panics if there is none.
 func kindNamed(name string) kind {
-	i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == name })
-	return kinds[i]
+	all := slices.Concat(kinds, coldKinds)
+	i := slices.IndexFunc(all, func(k kind) bool { return k.name == name })
+	return all[i]
 }
 
 // Schedule lists the faults of one seed in order of time.
@@ -167,19 +175,32 @@
 func NewSchedule(seed uint64, span time.Duration) Schedule {
 	rng := rand.New(rand.NewPCG(seed, 4))
 	s := Schedule{Seed: seed}
+	drawn := drawnKinds()
 	for range 3 + rng.IntN(maxFaults-2) {
-		s.Faults = append(s.Faults, Fault{
+		f := Fault{
 			At:     time.Second + time.Duration(rng.Int64N(int64(span))),
-			Kind:   kinds[rng.IntN(len(kinds))].name,
+			Kind:   drawn[rng.IntN(len(drawn))].name,
 			Target: rng.IntN(1000),
 			Span:   time.Duration(200+rng.IntN(3800)) * time.Millisecond,
 			Level:  rng.IntN(100),
-		})
+		}
+		if strings.HasPrefix(f.Kind, "evacuate") {
+			f.Span = evacuationSpan(f.Span)
+		}
+		s.Faults = append(s.Faults, f)
 	}
 	slices.SortFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return s
 }
 
+// drawnKinds returns the kinds of which schedules are drawn.
+func drawnKinds() []kind {
+	if drawColdStarts {
+		return slices.Concat(kinds, coldKinds)
+	}
+	return kinds
+}
+
 // host returns the host that the fault selects.
 func host(s *site.Site, f Fault) *site.Host { return s.Hosts()[f.Target%len(s.Hosts())] }
 
@@ -237,7 +258,7 @@
 // addEndpoint starts an endpoint of a service and in a domain that the fault selects.
 func addEndpoint(s *site.Site, f Fault) {
 	services := []string{"main", "other"}
-	if _, err := s.AddEndpoint(services[f.Target%2], fmt.Sprintf("d%d", f.Level%s.Options.Domains)); err != nil {
+	if _, err := s.AddEndpoint(services[f.Target%2], domain(s, f.Level)); err != nil {
 		s.RecordViolation("endpoint failed to start: " + err.Error())
 	}
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -184,6 +184,32 @@
 	return s
 }
 
+// TestLateEvacuation: a host that does not learn of an evacuation and goes on sending new
+// flows to the domain is detected.
+func TestLateEvacuation(t *testing.T) {
+	s, _ := newSite(t, 18490)
+	s.Hosts()[0].Store.Set(site.Impairment{CutUp: true, CutDown: true}, time.Minute)
+	s.Evacuate("d0", time.Minute)
+	s.SetLoad(true)
+	require.Eventually(t, func() bool { return len(s.Violations()) > 0 }, 20*time.Second, 50*time.Millisecond)
+	requireViolation(t, s, "in evacuated domain d0")
+}
+
+// TestColdEndpointOverLimit: new flows at a cold endpoint above its limit are detected. Hosts
+// are not told that the endpoints are cold, so that no host can obey the limit.
+func TestColdEndpointOverLimit(t *testing.T) {
+	s, err := site.New(site.Options{
+		Daemon: daemon, Dir: t.TempDir(), Port: 18500, Seed: 1, Domains: 1, Hosts: 1, Endpoints: 2, Rate: 200, ColdStarts: true,
+	})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	require.True(t, waitReady(t.Context(), s))
+	s.Endpoints(func(e *site.Endpoint) { e.ExpectCold(time.Minute) })
+	s.SetLoad(true)
+	require.Eventually(t, func() bool { return len(s.Violations()) > 0 }, 20*time.Second, 50*time.Millisecond)
+	requireViolation(t, s, "new flows within a second")
+}
+
 // TestSchedulesRepeat: a schedule is determined by its seed.
 func TestSchedulesRepeat(t *testing.T) {
 	require.Equal(t, NewSchedule(7, time.Second), NewSchedule(7, time.Second))
