emu: Play evacuations, domains that come back cold, waves and moving callers

Change: Evacuate, EndEvacuation, RestartDomain, Wave and MoveCallers in virtual time, and Config.ColdStarts. Runs that use none of them draw the same random numbers as before.

--- a/standin/emu/emu.go
+++ b/standin/emu/emu.go
@@ -63,6 +63,8 @@
 	Retries int
 	// ShareFailureReports makes the hosts of a domain exchange failure reports.
 	ShareFailureReports bool
+	// ColdStarts holds the services whose endpoints are cold after their start.
+	ColdStarts map[string]catalog.ColdStart
 	// Options configure the relays; the domain and the output are set per host.
 	Options relay.Options
 }
@@ -142,6 +144,7 @@
 	nextID     uint64
 	stopAt     time.Duration
 	loadFactor float64
+	moved      map[string]moved // by the domain that callers have left
 }
 
 // New builds a deployment without running it.
@@ -154,6 +157,7 @@
 		directory:  catalog.NewDirectory(0, time.Minute),
 		byIP:       make(map[uint32]*caller),
 		loadFactor: 1,
+		moved:      make(map[string]moved),
 	}
 	em.Result = newResult(c.Classes)
 	for d := range c.Domains {
@@ -225,7 +229,7 @@
 		if em.now >= em.stopAt {
 			return
 		}
-		em.callers[em.rng.IntN(len(em.callers))].startRequest(c)
+		em.drawCaller().startRequest(c)
 		em.scheduleArrival(c)
 	})
 }
@@ -235,7 +239,7 @@
 func (em *Emulator) Configure(classes []Class) {
 	em.version++
 	em.revision++
-	c := &catalog.Configuration{Version: em.version, Services: make(map[string]int), IdleTimeout: 15 * time.Second}
+	c := &catalog.Configuration{Version: em.version, Services: make(map[string]int), ColdStarts: em.Config.ColdStarts, IdleTimeout: 15 * time.Second}
 	for _, g := range em.Config.Groups {
 		c.Services[g.Service] = 2000
 	}
