site: Let cold endpoints bear one request a second

Cause: with 8 requests a second the limit at a cold endpoint was 17 new flows, which the usual load of the soak does not reach (schedule of evacuate-restart and domain-restarted, 150 requests a second: no violation though no host limits anything; the same with 4, and a violation only at 400 requests a second). Change: 1 request a second, a limit of 6.

--- a/standin/site/cold.go
+++ b/standin/site/cold.go
@@ -9,15 +9,20 @@
 // cold endpoint.
 const (
 	// coldFor is how long an endpoint is cold after its start, coldPerSecond the number
-	// of requests a second that it bears meanwhile.
+	// of requests a second that it bears meanwhile: so few that the limit is below a
+	// third of what each endpoint of the first service gets at 150 requests a second.
 	coldFor       = 3 * time.Second
-	coldPerSecond = 8
+	coldPerSecond = 1
 	coldFactor    = 1.5
 	coldAllowance = 5
-	// coldLimit is the maximum number of new flows at a cold endpoint within a second.
-	coldLimit = coldPerSecond*coldFactor + coldAllowance
 )
 
+// coldLimit returns the maximum number of new flows at a cold endpoint within a second.
+func coldLimit() int {
+	limit := coldPerSecond*coldFactor + coldAllowance
+	return int(limit)
+}
+
 // coldStart tracks an endpoint that has started.
 type coldStart struct {
 	until time.Duration
@@ -51,7 +56,7 @@
 		c.opened = c.opened[1:]
 	}
 	c.opened = append(c.opened, now)
-	if len(c.opened) > coldLimit && !c.reported {
+	if len(c.opened) > coldLimit() && !c.reported {
 		c.reported = true
 		e.site.Result.recordViolation(now, fmt.Sprintf("cold endpoint %s got %d new flows within a second", e.id, len(c.opened)))
 	}
