--- a/internal/relayd/spillover_test.go
+++ b/internal/relayd/spillover_test.go
@@ -39,5 +39,5 @@
 	require.Contains(t, log.String(), "event=8021 service=s share=0.25 home=90ms remote=50ms")
 	s.Share = 0
 	o.spilloverChanged(time.Second, s)
-	require.Contains(t, log.String(), "event=8021")
+	require.Contains(t, log.String(), "event=8022")
 }
