balance, relay: Send to other domains what would wait, while they have room

Cause: while the endpoints of a service are congested, a host lets its even share of all slots wait for answers. Change: with spillover, the window is that of the host's own domain, and requests to other domains count in a limit for each, which rises with answers that did not wait there and falls with the others. What would be held goes to a domain with room.

--- a/internal/balance/window.go
+++ b/internal/balance/window.go
@@ -141,6 +141,12 @@
 	return startGrowth
 }
 
+// Congested reports whether an answer time counts as congested; none does until the
+// uncongested time is known.
+func (w *Window) Congested(took, target time.Duration) bool {
+	return w.samples >= firstAnswers && float64(took) > w.threshold(target)
+}
+
 // threshold returns the answer time from which an answer is congested.
 func (w *Window) threshold(target time.Duration) float64 {
 	slack := max(0, float64(target)-w.base) * targetSlackShare
--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -142,6 +142,16 @@
 // HostCount returns the number of registered hosts.
 func (r *Replica) HostCount() int { return len(r.hosts) }
 
+// HostCountIn returns the number of hosts registered in a failure domain.
+func (r *Replica) HostCountIn(domain string) (n int) {
+	for _, h := range r.hosts {
+		if h.Domain == domain {
+			n++
+		}
+	}
+	return n
+}
+
 // Hosts returns the registered hosts, ordered by name.
 func (r *Replica) Hosts() []Host {
 	hosts := make([]Host, 0, len(r.hosts))
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -35,6 +35,9 @@
 	// CauseSpillover: the flow belongs to the share that leaves the host's domain, and the
 	// endpoint has the lowest cost of those that it may go to.
 	CauseSpillover = "spillover"
+	// CauseNoRoom: the flow would have to wait in the host's domain, and another domain has
+	// room; the endpoint has the lowest cost there.
+	CauseNoRoom = "no_room"
 	// CauseSuspect: the endpoint is suspect, but there is no other, or all others cost
 	// much more.
 	CauseSuspect = "suspect"
@@ -150,6 +153,11 @@
 	case candidates == 0:
 		x.decide(OutcomeRefused, sv.noCandidate().String())
 	case r.mustWait(now, sv):
+		if f.overflow = r.overflowWithRoom(now, sv); f.overflow != nil && x.Held == 0 {
+			r.explainOpen(now, x, f, route)
+			return
+		}
+		f.overflow = nil
 		r.explainHold(now, x, f, route)
 	default:
 		r.explainOpen(now, x, f, route)
@@ -174,7 +182,7 @@
 
 // explainOpen sets the outcome for a flow that is placed at once; see Relay.open.
 func (r *Relay) explainOpen(now time.Duration, x *Explanation, f *flow, route *catalog.Route) {
-	left := f.service.departed(DepartSpillover)
+	left, noRoom := f.service.departed(DepartSpillover), f.service.departed(DepartNoRoom)
 	c := r.choose(now, f, r.candidates(now, f.service), balance.Preview)
 	if !r.admits(route, c) {
 		x.decide(OutcomeRefused, RejectOverload.String())
@@ -186,6 +194,8 @@
 		x.decide(OutcomePlaced, CauseTrial)
 	case f.service.departed(DepartSpillover) > left:
 		x.decide(OutcomePlaced, CauseSpillover)
+	case f.service.departed(DepartNoRoom) > noRoom:
+		x.decide(OutcomePlaced, CauseNoRoom)
 	case c.Endpoint.UnansweredSYNs() > 0:
 		x.decide(OutcomePlaced, CauseSuspect)
 	default:
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -98,8 +98,10 @@
 	// startUnknown is set if the request began before the host saw the flow: its
 	// caller may have given up already, so a missing answer says nothing.
 	startUnknown bool
-	// counted is set while the flow counts in its service's inFlight.
-	counted bool
+	// counted is set while the flow counts in its service's inFlight or, if it was sent to
+	// another domain, in that of overflow.
+	counted  bool
+	overflow *overflow
 	// waiter orders the flow among the held ones; retransmissions is the number of
 	// its SYN's copies before the last one.
 	waiter          balance.Waiter
@@ -161,11 +163,15 @@
 		return
 	}
 	f.counted = counts
+	inFlight := &f.service.inFlight
+	if f.overflow != nil {
+		inFlight = &f.overflow.inFlight
+	}
 	if counts {
-		f.service.inFlight++
+		*inFlight++
 		return
 	}
-	f.service.inFlight--
+	*inFlight--
 }
 
 // detach removes the flow from its endpoint's Open and Busy.
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -51,8 +51,24 @@
 	return max(1, r.options.Hosts())
 }
 
-// slotShare returns the host's share of a service's slots.
-func (r *Relay) slotShare(sv *service) float64 { return float64(sv.slots) / float64(r.hosts()) }
+// slotShare returns the host's share of a service's slots. With spillover, the window is
+// that of the host's own domain: flows to other domains do not count in it.
+func (r *Relay) slotShare(sv *service) float64 {
+	slots, hosts := r.sharedSlots(sv)
+	return float64(slots) / float64(hosts)
+}
+
+// sharedSlots returns the slots that the window is about, and the number of hosts that
+// share them.
+func (r *Relay) sharedSlots(sv *service) (slots, hosts int) {
+	if sv.spill == nil || len(sv.spill.home) == 0 || r.options.HomeHosts == nil {
+		return sv.slots, r.hosts()
+	}
+	for _, e := range sv.spill.home {
+		slots += max(e.Entry.Slots, 1)
+	}
+	return slots, max(1, r.options.HomeHosts())
+}
 
 // fairLimit returns how many requests of a service the host may always let wait for
 // answers: its share of the slots, with as many waiting requests as keep them in use.
@@ -65,8 +81,9 @@
 	if r.handshakeTimeout.roundTrip() > 0 && sv.observed.Measured() {
 		roundTrip = min(float64(r.handshakeTimeout.roundTrip()), answer/2)
 	}
-	share := r.slotShare(sv)
-	limit := max(share*slotAllowance, balance.LimitWithMargin(share, r.hosts()))
+	slots, hosts := r.sharedSlots(sv)
+	share := float64(slots) / float64(hosts)
+	limit := max(share*slotAllowance, balance.LimitWithMargin(share, hosts))
 	return limit * (answer + roundTrip) / (answer - roundTrip)
 }
 
@@ -112,7 +129,7 @@
 // caller's attempt ends, or nil.
 func (r *Relay) surplus(now time.Duration, sv *service) *flow {
 	last := sv.held[sv.last(now)]
-	if len(sv.held) > maxHeld || now+r.queueTime(sv) > last.waiter.Until {
+	if len(sv.held) > maxHeld || now+r.queueTime(now, sv) > last.waiter.Until {
 		return last
 	}
 	return nil
@@ -121,12 +138,13 @@
 // queueTime returns the expected time until all held flows of a service have been
 // forwarded: by Little's law, as many as may wait for answers in each answer time.
 // Until answers have been seen, it counts the slots and what waits for them.
-func (r *Relay) queueTime(sv *service) time.Duration {
+func (r *Relay) queueTime(now time.Duration, sv *service) time.Duration {
 	ahead, atOnce := float64(len(sv.held)), sv.window.Limit(r.fairLimit(sv))
 	if !sv.observed.Measured() {
 		atOnce = r.slotShare(sv)
 		ahead += max(0, float64(sv.inFlight)-atOnce)
 	}
+	atOnce += sv.overflowLimit(now)
 	return time.Duration(ahead * float64(sv.observed.UsualAnswerTime()) / atOnce)
 }
 
@@ -180,8 +198,15 @@
 		return
 	}
 	for _, sv := range r.services {
-		for len(sv.held) > 0 && (r.draining || r.lagging || !sv.window.Full(now, sv.inFlight, r.fairLimit(sv))) {
+		for len(sv.held) > 0 {
+			var elsewhere *overflow
+			if !r.draining && !r.lagging && sv.window.Full(now, sv.inFlight, r.fairLimit(sv)) {
+				if elsewhere = r.overflowWithRoom(now, sv); elsewhere == nil {
+					break
+				}
+			}
 			f := sv.held[sv.next(now)]
+			f.overflow = elsewhere
 			sv.releases++
 			if now >= f.waiter.Until {
 				// This host was paused, or its timers are late.
@@ -202,8 +227,10 @@
 	f.service.chargeRelease(f)
 	r.removeHeld(f)
 	route := r.view.Route(f.key.Destination)
-	if route != nil {
-		f.service = r.serviceFor(route, f.key.Hash())
+	if former := f.service; route != nil {
+		if f.service = r.serviceFor(route, f.key.Hash()); f.service != former {
+			f.overflow = nil
+		}
 	}
 	if route == nil || len(f.service.candidates) == 0 {
 		reason := RejectNoEndpoint
--- /dev/null
+++ b/internal/relay/overflow.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"time"
+
+	"toucangap/internal/balance"
+)
+
+// overflow is the state of a service's flows to one other failure domain.
+type overflow struct {
+	domain string
+	limit  balance.Overflow
+	// inFlight counts the flows there whose request waits for its answer.
+	inFlight int
+	// endpoints are the service's candidates there.
+	endpoints []*balance.Endpoint
+}
+
+// updateOverflows sorts the candidates by domain. Records of domains without candidates
+// stay, since flows refer to them.
+func (p *spill) updateOverflows(candidates []*balance.Endpoint) {
+	for _, o := range p.overflows {
+		o.endpoints = o.endpoints[:0]
+	}
+	for _, e := range candidates {
+		if p.controller.Home(e.Entry.Domain) {
+			continue
+		}
+		o := p.overflow(e.Entry.Domain)
+		if o == nil {
+			o = &overflow{domain: e.Entry.Domain}
+			p.overflows = append(p.overflows, o)
+		}
+		o.endpoints = append(o.endpoints, e)
+	}
+}
+
+// overflow returns the record of another domain, or nil.
+func (p *spill) overflow(domain string) *overflow {
+	for _, o := range p.overflows {
+		if o.domain == domain {
+			return o
+		}
+	}
+	return nil
+}
+
+// overflowOf returns the record that a flow to the endpoint counts in, nil if it counts in
+// the service: with spillover off, at home, or if all flows leave for lack of a home.
+func (sv *service) overflowOf(e *balance.Endpoint) *overflow {
+	if sv.spill == nil || len(sv.spill.home) == 0 {
+		return nil
+	}
+	return sv.spill.overflow(e.Entry.Domain)
+}
+
+// overflowWithRoom returns the other domain to which a flow of the service goes that would
+// have to wait in the host's domain: the one with most room, nil if none has any.
+func (r *Relay) overflowWithRoom(now time.Duration, sv *service) *overflow {
+	if sv.spill == nil || len(sv.spill.home) == 0 || r.holdsNothing() {
+		return nil
+	}
+	if sv.cold != nil && now < sv.cold.until {
+		// Some endpoints may take no flow of this host.
+		return nil
+	}
+	var best *overflow
+	most := 0.0
+	for _, o := range sv.spill.overflows {
+		if !o.limit.Room(now, o.inFlight) || sv.spill.controller.CutOff(now, o.domain) || !mostlyAnswer(o.endpoints) {
+			continue
+		}
+		if room := o.limit.Limit(now) - float64(o.inFlight); best == nil || room > most {
+			best, most = o, room
+		}
+	}
+	return best
+}
+
+// recordOverflowAnswer records the time to an answer of another domain.
+func (r *Relay) recordOverflowAnswer(now time.Duration, f *flow) {
+	sv := f.service
+	wait := sv.window.Congested(f.answerTime-sv.spill.controller.Distance(f.overflow.domain), f.valuable())
+	f.overflow.limit.RecordAnswer(now, wait, f.overflow.inFlight)
+}
+
+// overflowLimit returns how many requests may wait in other domains.
+func (sv *service) overflowLimit(now time.Duration) (limit float64) {
+	if sv.spill == nil || len(sv.spill.home) == 0 {
+		return 0
+	}
+	for _, o := range sv.spill.overflows {
+		if len(o.endpoints) > 0 && !sv.spill.controller.CutOff(now, o.domain) {
+			limit += o.limit.Limit(now)
+		}
+	}
+	return limit
+}
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -216,12 +216,24 @@
 	f.answerFromKnown = false
 	if f.answerTime > 0 && !small {
 		f.recordSpillAnswer(now)
-		sv := f.service
-		sv.window.RecordAnswer(now, f.answerTime, f.valuable(), sv.inFlight, r.fairLimit(sv))
+		r.recordWindowAnswer(now, f)
 	}
 	f.answerTime = 0
 }
 
+// recordWindowAnswer records the time to an answer that is no error where the flow counts.
+func (r *Relay) recordWindowAnswer(now time.Duration, f *flow) {
+	if f.overflow != nil {
+		// Late ones were recorded before.
+		if !f.pastTarget {
+			r.recordOverflowAnswer(now, f)
+		}
+		return
+	}
+	sv := f.service
+	sv.window.RecordAnswer(now, f.answerTime, f.valuable(), sv.inFlight, r.fairLimit(sv))
+}
+
 // recordOutcome records whether a request of the flow failed.
 func (r *Relay) recordOutcome(now time.Duration, f *flow, failed bool) {
 	if failed && r.lagging {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,6 +42,9 @@
 	Observer     Observer
 	// Hosts returns the number of hosts that share the endpoints; nil means one.
 	Hosts func() int
+	// HomeHosts returns the number of those in the host's failure domain; nil means that it
+	// is not known.
+	HomeHosts func() int
 	// Isolated reports whether the host has lost contact with the store. It is asked while
 	// no other domain answers: new flows may then go to evacuated endpoints of the host's
 	// own domain. Nil means never.
--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -25,6 +25,8 @@
 	DepartFailing
 	// DepartCold: the cheapest endpoint of the host's domain is cold.
 	DepartCold
+	// DepartNoRoom: the flow would have had to wait at the host, and another domain has room.
+	DepartNoRoom
 	// DepartFailover: the SYN failed over to another endpoint.
 	DepartFailover
 	departures
@@ -36,7 +38,7 @@
 // which a flow does not stay at the best endpoint of the host's domain.
 const maxHomeFailureShare = 0.1
 
-var departureNames = [departures]string{"spillover", "no_home", "suspect", "full", "failing", "cold", "failover"}
+var departureNames = [departures]string{"spillover", "no_home", "suspect", "full", "failing", "cold", "no_room", "failover"}
 
 // String returns the reason's name in metrics.
 func (d Departure) String() string { return departureNames[d] }
@@ -48,6 +50,7 @@
 	// that flows may leave for, as of the revision of the controller.
 	home, remote []*balance.Endpoint
 	revision     uint64
+	overflows    []*overflow
 	left         [departures]int64
 	// spilling is set while the share is above 0, as reported last.
 	spilling bool
@@ -69,6 +72,11 @@
 	c := *p
 	c.controller = p.controller.Clone()
 	c.home, c.remote = slices.Clone(p.home), slices.Clone(p.remote)
+	c.overflows = slices.Clone(p.overflows)
+	for i, o := range c.overflows {
+		copied := *o
+		c.overflows[i] = &copied
+	}
 	return &c
 }
 
@@ -82,6 +90,7 @@
 		p.controller.AddSlots(e.Entry.Domain, max(e.Entry.Slots, 1))
 	}
 	p.split(candidates)
+	p.updateOverflows(candidates)
 }
 
 // split sorts the candidates into home and remote ones.
@@ -107,6 +116,10 @@
 // candidates of the service are left out, as cold ones may be, cost alone decides.
 func (r *Relay) choose(now time.Duration, f *flow, candidates []*balance.Endpoint, pick chooser) balance.Choice {
 	request, sv := r.request(now, f), f.service
+	if f.overflow != nil {
+		sv.spill.left[DepartNoRoom]++
+		return pick(request, &sv.observed, f.overflow.endpoints)
+	}
 	if sv.spill == nil || len(candidates) == 0 || &candidates[0] != &sv.candidates[0] {
 		return pick(request, &sv.observed, candidates)
 	}
@@ -226,6 +239,9 @@
 func (r *Relay) recordSpillLate(now time.Duration, f *flow) {
 	if p := f.service.spill; p != nil && !r.lagging && !f.startUnknown && !f.overdue && !f.pastTarget {
 		p.controller.RecordLate(now, f.endpoint.Entry.Domain, f.valuable())
+		if f.overflow != nil {
+			f.overflow.limit.RecordAnswer(now, true, f.overflow.inFlight)
+		}
 	}
 }
 
@@ -234,6 +250,9 @@
 func (r *Relay) recordSpillUnanswered(now time.Duration, f *flow) {
 	if p := f.service.spill; p != nil && !r.lagging && f.tries == 1 {
 		p.controller.RecordUnanswered(now, f.endpoint.Entry.Domain)
+		if f.overflow != nil {
+			f.overflow.limit.RecordUnanswered(now)
+		}
 	}
 }
 
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -92,8 +92,11 @@
 		f.synLength = 0
 	}
 	if r.mustWait(now, sv) && f.synLength > 0 {
-		r.hold(now, f, route)
-		return
+		if f.overflow = r.overflowWithRoom(now, sv); f.overflow == nil || len(sv.held) > 0 {
+			f.overflow = nil
+			r.hold(now, f, route)
+			return
+		}
 	}
 	r.open(now, f, route, frame)
 }
@@ -113,6 +116,7 @@
 	p.Choice = r.choose(now, f, candidates, r.options.Choose)
 	r.notifySpillover(now, f.service)
 	p.Endpoint = p.Choice.Endpoint.Entry
+	f.overflow = f.service.overflowOf(p.Choice.Endpoint)
 	if !r.admits(route, p.Choice) {
 		r.removeFlow(f)
 		r.reject(now, p, 0, RejectOverload)
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -29,6 +29,9 @@
 	restores atomic.Int64
 	// hostCount is the number of registered hosts.
 	hostCount atomic.Int64
+	// domain is the host's failure domain, homeHostCount the number of hosts registered in it.
+	domain        string
+	homeHostCount atomic.Int64
 	// registrations holds the registered hosts, nil before the first is known.
 	registrations atomic.Pointer[coldstart.Hosts]
 	// changeAges samples the age of the source's state, in milliseconds, when changes
@@ -102,6 +105,7 @@
 		changed := c.replica.Apply(c.clock.Monotonic(), b)
 		c.restores.Store(c.replica.Restores())
 		c.hostCount.Store(int64(c.replica.HostCount()))
+		c.homeHostCount.Store(int64(c.replica.HostCountIn(c.domain)))
 		if hosts := c.replica.Registrations(); hosts != nil {
 			c.registrations.Store(hosts)
 		}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -81,6 +81,7 @@
 	}
 	d.logger = slog.New(slog.NewTextHandler(d.logWriter, &slog.HandlerOptions{Level: level}))
 	d.control = newControl(d.clock, d.logger, d.registry, s.Bounds.FlowLifetime, s.Store.History)
+	d.control.domain = s.Domain
 	host := follow.Host{Name: s.Name, Domain: s.Domain, Feed: s.Listen.FeedAdvertised,
 		Capacity: follow.CapacityOf(s.CPUShare, s.LinkMbps)}
 	d.ready = &readiness{control: d.control, logger: d.logger}
@@ -121,6 +122,7 @@
 		Output:       d.traffic,
 		Observer:     d.traffic.observer,
 		Hosts:        func() int { return int(d.control.hostCount.Load()) },
+		HomeHosts:    func() int { return int(d.control.homeHostCount.Load()) },
 		Isolated:     isolated,
 		Cold: coldstart.Rules{
 			Host:       coldstart.Host{Name: d.settings.Name, Domain: d.settings.Domain},
--- a/internal/spillover/spillover.go
+++ b/internal/spillover/spillover.go
@@ -224,6 +224,21 @@
 // Revision returns a number that rises when the slots or the allowed domains change.
 func (c *Controller) Revision() uint64 { return c.revision }
 
+// CutOff reports whether a domain counts as cut off.
+func (c *Controller) CutOff(now time.Duration, name string) bool {
+	d := c.domain(name)
+	return d != nil && now < d.cutOffUntil
+}
+
+// Distance returns the additional round trip to a domain.
+func (c *Controller) Distance(name string) time.Duration {
+	d := c.domain(name)
+	if d == nil || d == &c.home {
+		return 0
+	}
+	return time.Duration(c.distance(d))
+}
+
 // Home reports whether the domain is the host's.
 func (c *Controller) Home(name string) bool { return name == c.home.name }
 
