relay: Bound all flows that leave while home is congested

Cause: flows that went to other domains by cost, since no slot at home seemed free, were not bound by those domains' limits, and no longer counted in the window at home. Change: while the window is closed they go only where there is room. Tests of the limit, of the window that counts home only, and of a domain that is cut off.

--- a/internal/relay/overflow.go
+++ b/internal/relay/overflow.go
@@ -77,6 +77,13 @@
 	return best
 }
 
+// mayLeaveFor reports whether a flow that would not have to wait at home may go to the
+// endpoint: while the endpoints at home are congested, those of other domains may be, too.
+func (r *Relay) mayLeaveFor(now time.Duration, sv *service, e *balance.Endpoint) bool {
+	o := sv.overflowOf(e)
+	return o == nil || !sv.window.Closed() || o.limit.Room(now, o.inFlight)
+}
+
 // recordOverflowAnswer records the time to an answer of another domain.
 func (r *Relay) recordOverflowAnswer(now time.Duration, f *flow) {
 	sv := f.service
--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -131,6 +131,9 @@
 			choice = pick(request, &sv.observed, candidates)
 		}
 	}
+	if reason != stays && reason != DepartSuspect && !r.mayLeaveFor(now, sv, choice.Endpoint) {
+		choice, reason = pick(request, &sv.observed, sv.spill.home), stays
+	}
 	if reason != stays {
 		sv.spill.count(choice.Endpoint, reason)
 	}
