relay: Limit cold endpoints of an evacuated domain in isolation, too

Cause: a host that is isolated with its evacuated domain sent new flows to all evacuated endpoints there, also to cold ones, whose state was not kept and whose limit was not applied. Change: candidates leaves out cold endpoints from either list; evacuated home endpoints are recorded when they are cold. Result: TestIsolatedDomainKeepsTheColdLimit, which saw 5 flows where 2 are allowed.

--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -28,7 +28,7 @@
 	until time.Duration
 	// endpoints holds those that are or were cold of late.
 	endpoints map[catalog.Token]*coldEndpoint
-	// allowed is the reused result of Relay.allowedCandidates.
+	// allowed is the reused result of Relay.allowed.
 	allowed []*balance.Endpoint
 }
 
@@ -82,7 +82,9 @@
 		}
 		sv.cold.start = start
 		sv.cold.limit = r.options.Cold.Bounds.Limit(start.PerSecond)
-		sv.cold.update(now, v, sv.candidates)
+		sv.cold.add(now, sv.candidates)
+		sv.cold.add(now, sv.evacuatedHome)
+		sv.cold.update(now, v)
 		r.rejectHeldOfCold(now, sv)
 	}
 }
@@ -95,12 +97,17 @@
 	}
 }
 
-func (s *coldService) update(now time.Duration, v *catalog.View, candidates []*balance.Endpoint) {
-	for _, e := range candidates {
+// add adds the cold ones of the endpoints.
+func (s *coldService) add(now time.Duration, endpoints []*balance.Endpoint) {
+	for _, e := range endpoints {
 		if now < e.Entry.WarmAt {
 			s.get(e)
 		}
 	}
+}
+
+// update takes the view's entries, and deletes the state of endpoints that are warm.
+func (s *coldService) update(now time.Duration, v *catalog.View) {
 	s.until = 0
 	for token, c := range s.endpoints {
 		entry := v.ByToken(token)
@@ -147,19 +154,19 @@
 // candidates returns the service's endpoints that a new flow may go to now. The result is
 // valid until the next call.
 func (r *Relay) candidates(now time.Duration, sv *service) []*balance.Endpoint {
-	if evacuated := r.lastResort(now, sv); evacuated != nil {
+	if evacuated := r.allowed(now, sv, r.lastResort(now, sv)); len(evacuated) > 0 {
 		return evacuated
 	}
-	if sv.cold == nil || now >= sv.cold.until {
-		return sv.candidates
-	}
-	return r.allowedCandidates(now, sv)
+	return r.allowed(now, sv, sv.candidates)
 }
 
-// allowedCandidates leaves out the cold endpoints that this host may not send flows to.
-func (r *Relay) allowedCandidates(now time.Duration, sv *service) []*balance.Endpoint {
+// allowed leaves out the cold endpoints that this host may not send flows to.
+func (r *Relay) allowed(now time.Duration, sv *service, list []*balance.Endpoint) []*balance.Endpoint {
+	if len(list) == 0 || sv.cold == nil || now >= sv.cold.until {
+		return list
+	}
 	allowed := sv.cold.allowed[:0]
-	for _, e := range sv.candidates {
+	for _, e := range list {
 		if c := r.coldState(now, sv, e); c == nil || r.coldAllows(now, sv, c) {
 			allowed = append(allowed, e)
 		}
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -162,3 +162,25 @@
 	require.Equal(t, before, run(func(r *harness) { r.directory.Configuration().ColdStarts["s"] = unlimited }))
 	require.NotEqual(t, before, run(func(*harness) {}), "the limit matters in this run")
 }
+
+// TestIsolatedDomainKeepsTheColdLimit guards against unlimited flows to cold endpoints of
+// the host's own evacuated domain, which a host that is isolated with them uses.
+func TestIsolatedDomainKeepsTheColdLimit(t *testing.T) {
+	r := limitedHarness(t, 1, "self")
+	r.put(catalog.Endpoint{ID: "i-far", Domain: "far", Slots: 2})
+	r.relay.options.Isolated = func() bool { return true }
+	r.evacuate("d")
+	r.report("i-1", 2, coldFor)
+	r.syn(1, 0)
+	r.advance(300 * ms)
+	// The SYN has failed over to i-1, which counts for a second.
+	r.now += 1200 * ms
+	r.drain()
+	for port := range uint16(5) {
+		r.syn(10+port, 0)
+	}
+	sent, _ := r.drain()
+	require.Equal(t, []string{"i-1", "i-1", "i-far", "i-far", "i-far"}, sent)
+	r.now += coldFor
+	require.Equal(t, "i-1", r.place(20), "it is warm")
+}
