relay: Explain cold limits, spillover, shares and isolation

Cause: with route shares, Explain judged a full queue without the flow itself in the shares; with spillover, the first candidate was not the one that a flow goes to; candidates left out by spillover or by isolation had no reason. Change: shares are copied and the flow joins the copy; candidates are listed in the order of the decision; new reasons spillover and unreachable; reasons for which an endpoint takes no flow come first, cold_limit among them.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -3,6 +3,8 @@
 // queue can't be served in time. It is pure and counts in whole numbers.
 package fairshare
 
+import "slices"
+
 const (
 	// maxPriority limits the ratio of two weights to 1:256, so that a route of any
 	// priority is released again within a bounded number of releases.
@@ -36,6 +38,14 @@
 	releases int
 }
 
+// Clone returns a copy that shares no state; nil if s is nil.
+func (s *Shares) Clone() *Shares {
+	if s == nil {
+		return nil
+	}
+	return &Shares{slots: slices.Clone(s.slots), next: s.next}
+}
+
 func (s *slot) cost() int { return 1 << s.priority }
 
 // addCredit adds credit up to the limit.
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -163,6 +163,8 @@
 		cause = CauseQueue
 	}
 	f.waiter = f.newWaiter(now, route)
+	f.service.shares = f.service.shares.Clone()
+	f.joinShares(route)
 	// Clipped, so that the append does not write to the relay's list.
 	f.service.held = append(slices.Clip(f.service.held), f)
 	if r.surplus(now, f.service) == f {
@@ -175,7 +177,7 @@
 // explainOpen sets the outcome for a flow that is placed at once; see Relay.open.
 func (r *Relay) explainOpen(now time.Duration, x *Explanation, f *flow, route *catalog.Route) {
 	left := f.service.departed(DepartSpillover)
-	c := r.choose(now, f, r.candidates(now, f.service), balance.Preview)
+	c, _ := r.choose(now, f, r.candidates(now, f.service), balance.Preview)
 	if !r.admits(route, c) {
 		x.decide(OutcomeRefused, RejectOverload.String())
 		return
@@ -193,31 +195,40 @@
 	}
 }
 
-// explainCandidates adds the endpoints of the flow's service.
+// explainCandidates adds the endpoints of the flow's service: those that it would be placed
+// among, then those that spillover leaves out for this flow, then those that take none.
 func (r *Relay) explainCandidates(now time.Duration, x *Explanation, f *flow, limit int) {
 	sv := f.service
 	candidates := r.candidates(now, sv)
-	available := make(map[*balance.Endpoint]bool, len(candidates))
-	for _, e := range candidates {
-		available[e] = true
-	}
-	var others []*balance.Endpoint
+	available := setOf(candidates)
+	_, from := r.choose(now, f, candidates, balance.Preview)
+	preferred := setOf(from)
+	var leftOut, others []*balance.Endpoint
 	for _, e := range r.endpoints {
-		if e.Entry.Service == sv.name && !available[e] {
+		switch {
+		case preferred[e]:
+		case available[e]:
+			leftOut = append(leftOut, e)
+		case e.Entry.Service == sv.name:
 			others = append(others, e)
 		}
 	}
 	request := r.request(now, f)
-	ranks := balance.Ranking(request, &sv.observed, candidates)
+	ranks := balance.Ranking(request, &sv.observed, from)
+	ranks = append(ranks, balance.Ranking(request, &sv.observed, leftOut)...)
 	ranks = append(ranks, balance.Ranking(request, &sv.observed, others)...)
 	x.CandidateCount = len(ranks)
 	for i := range ranks[:min(limit, len(ranks))] {
 		k := &ranks[i]
+		reasons := r.reasons(now, sv, k)
+		if available[k.Endpoint] && !preferred[k.Endpoint] {
+			reasons = append(reasons, ReasonSpillover)
+		}
 		x.Candidates = append(x.Candidates, Candidate{
 			ID:        k.Endpoint.Entry.ID,
 			Domain:    k.Endpoint.Entry.Domain,
 			Available: available[k.Endpoint],
-			Reasons:   r.reasons(now, sv, k),
+			Reasons:   reasons,
 			Cost:      k.Cost,
 			Costs:     k.Costs,
 			Open:      k.Endpoint.Open,
@@ -225,3 +236,11 @@
 		})
 	}
 }
+
+func setOf(list []*balance.Endpoint) map[*balance.Endpoint]bool {
+	set := make(map[*balance.Endpoint]bool, len(list))
+	for _, e := range list {
+		set[e] = true
+	}
+	return set
+}
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -19,15 +19,18 @@
 	ReasonEvacuated Reason = "evacuated"
 	// ReasonUnknownService: the configuration does not name its service.
 	ReasonUnknownService Reason = "unknown_service"
+	// ReasonUnreachable: no other domain answers, and the host, which has lost contact with
+	// the store, sends flows to evacuated endpoints of its own domain.
+	ReasonUnreachable Reason = "unreachable"
+	// ReasonColdLimit: it is cold, and this host may send it no flow now: another host
+	// owns it, or its limit is reached.
+	ReasonColdLimit Reason = "cold_limit"
 	// ReasonSuspect: SYNs to it were unanswered, and no flow may test it now.
 	ReasonSuspect Reason = "suspect"
 	// ReasonTrial: SYNs to it were unanswered, and one flow may test it.
 	ReasonTrial Reason = "trial"
 	// ReasonCold: it has just started, or its failure domain's evacuation has ended.
 	ReasonCold Reason = "cold"
-	// ReasonColdLimit: it is cold, and this host may send it no flow now: another host
-	// owns it, or its limit is reached.
-	ReasonColdLimit Reason = "cold_limit"
 	// ReasonSlow: it takes longer to answer than its service usually does.
 	ReasonSlow Reason = "slow"
 	// ReasonFailing: it fails more requests than its service.
@@ -36,6 +39,9 @@
 	ReasonNoSlot Reason = "no_free_slot"
 	// ReasonOtherDomain: it is in another failure domain than the host.
 	ReasonOtherDomain Reason = "other_domain"
+	// ReasonSpillover: it would take the flow, but spillover decides that the flow stays in
+	// the host's domain, or leaves it, or that it avoids the endpoint's domain.
+	ReasonSpillover Reason = "spillover"
 )
 
 // reasonRule tells whether a reason applies to an endpoint.
@@ -44,8 +50,9 @@
 	applies func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool
 }
 
-// reasonRules are the rules in the order of explanations. A decision that leaves an
-// endpoint out, or makes it cost more, needs a rule here.
+// reasonRules are the rules in the order of explanations: first those of endpoints that
+// take no new flow. A decision that leaves an endpoint out, or makes it cost more, needs a
+// rule here; ReasonSpillover depends on the flow, see Relay.explainCandidates.
 var reasonRules = []reasonRule{
 	{ReasonRemoved, func(r *Relay, _ time.Duration, _ *service, k *balance.Rank) bool {
 		return !k.Endpoint.Entry.Listed || r.view.ByToken(k.Endpoint.Entry.Token()) != k.Endpoint.Entry
@@ -60,15 +67,18 @@
 		_, known := r.view.Configuration.Services[sv.name]
 		return !known
 	}},
-	{ReasonSuspect, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Suspect }},
-	{ReasonTrial, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Trial }},
-	{ReasonCold, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
-		return now < k.Endpoint.Entry.WarmAt || r.coldState(now, sv, k.Endpoint) != nil
+	{ReasonUnreachable, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
+		return !r.view.Evacuated(k.Endpoint.Entry.Domain) && len(r.allowed(now, sv, r.lastResort(now, sv))) > 0
 	}},
 	{ReasonColdLimit, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
 		c := r.coldState(now, sv, k.Endpoint)
 		return c != nil && !r.coldAllows(now, sv, c)
 	}},
+	{ReasonSuspect, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Suspect }},
+	{ReasonTrial, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Trial }},
+	{ReasonCold, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
+		return now < k.Endpoint.Entry.WarmAt || r.coldState(now, sv, k.Endpoint) != nil
+	}},
 	{ReasonSlow, func(_ *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
 		return k.Endpoint.Slowness(now, &sv.observed) > 1
 	}},
--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -70,6 +70,11 @@
 func (r *Relay) addToShares(f *flow, route *catalog.Route) {
 	f.counts = r.countsOf(route.Name)
 	f.counts.Held++
+	f.joinShares(route)
+}
+
+// joinShares adds a flow to the shares of its service, if there are any.
+func (f *flow) joinShares(route *catalog.Route) {
 	if shares := f.service.shares; shares != nil {
 		f.slot = shares.Add(route.Name, route.Priority)
 	}
--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -101,27 +101,29 @@
 // chooser picks one of the endpoints that a new flow may go to.
 type chooser func(balance.Request, *balance.Service, []*balance.Endpoint) balance.Choice
 
-// choose picks the endpoint of a new flow from the candidates. With spillover, the flow
+// choose picks the endpoint of a new flow from the candidates, and returns those that it
+// was picked from as well. With spillover, the flow
 // stays among the endpoints of the host's domain or leaves for those of the allowed
 // domains; if these are of no use, it goes to the cheapest one of all. While some
 // candidates of the service are left out, as cold ones may be, cost alone decides.
-func (r *Relay) choose(now time.Duration, f *flow, candidates []*balance.Endpoint, pick chooser) balance.Choice {
+func (r *Relay) choose(now time.Duration, f *flow, candidates []*balance.Endpoint, pick chooser) (c balance.Choice, from []*balance.Endpoint) {
 	request, sv := r.request(now, f), f.service
 	if sv.spill == nil || len(candidates) == 0 || &candidates[0] != &sv.candidates[0] {
-		return pick(request, &sv.observed, candidates)
+		return pick(request, &sv.observed, candidates), candidates
 	}
 	preferred, reason := r.spillCandidates(now, sv, request.Hash)
 	choice := pick(request, &sv.observed, preferred)
 	if reason == stays && !choice.Trial {
 		// A trial is not repeated: its endpoint waits for the result.
 		if reason = sv.homeDefect(now, choice.Endpoint); reason != stays {
-			choice = pick(request, &sv.observed, candidates)
+			preferred = candidates
+			choice = pick(request, &sv.observed, preferred)
 		}
 	}
 	if reason != stays {
 		sv.spill.count(choice.Endpoint, reason)
 	}
-	return choice
+	return choice, preferred
 }
 
 // homeDefect returns why a flow should not simply stay at the best endpoint of the host's
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -110,7 +110,7 @@
 		r.reject(now, p, 0, RejectCold)
 		return
 	}
-	p.Choice = r.choose(now, f, candidates, r.options.Choose)
+	p.Choice, _ = r.choose(now, f, candidates, r.options.Choose)
 	r.notifySpillover(now, f.service)
 	p.Endpoint = p.Choice.Endpoint.Entry
 	if !r.admits(route, p.Choice) {
