relay: Count a flow once towards the next trial with spillover

Cause: while the host's domain was full, cold or failing, a flow was picked twice, and each pick counted towards the next trial of a suspect endpoint, so that trials came early (after 4 flows instead of 6 in the test) and Explain did not foresee them. Change: whether the flow stays is decided by Preview, and it is picked once.

--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -112,14 +112,17 @@
 		return pick(request, &sv.observed, candidates), candidates
 	}
 	preferred, reason := r.spillCandidates(now, sv, request.Hash)
-	choice := pick(request, &sv.observed, preferred)
-	if reason == stays && !choice.Trial {
-		// A trial is not repeated: its endpoint waits for the result.
-		if reason = sv.homeDefect(now, choice.Endpoint); reason != stays {
+	if reason == stays {
+		// Not picked, since that counts towards the next trial of a suspect endpoint.
+		best := balance.Preview(request, &sv.observed, preferred)
+		if !best.Trial {
+			reason = sv.homeDefect(now, best.Endpoint)
+		}
+		if reason != stays {
 			preferred = candidates
-			choice = pick(request, &sv.observed, preferred)
 		}
 	}
+	choice := pick(request, &sv.observed, preferred)
 	if reason != stays {
 		sv.spill.count(choice.Endpoint, reason)
 	}
--- a/internal/relay/spillover_test.go
+++ b/internal/relay/spillover_test.go
@@ -124,3 +124,32 @@
 	require.True(t, r.timedFlow(1, make([]byte, 40), 0, 20*ms))
 	require.Equal(t, int64(1), r.relay.Spillover(r.now)[0].Left[DepartCold])
 }
+
+// TestSpilloverKeepsTheIntervalOfTrials guards against flows that count twice towards the
+// next trial of a suspect endpoint, which they did while the host's domain was full.
+func TestSpilloverKeepsTheIntervalOfTrials(t *testing.T) {
+	untilTrial := func(spillover bool) int {
+		r := newSpilloverHarness(t, 1, 2)
+		r.relay.options.Disabled = Features{Holding: true, Admission: true}
+		sv := r.relay.services["s"]
+		if !spillover {
+			sv.spill = nil
+		}
+		suspect, dead := r.relay.endpoints[catalog.TokenOf("e-1")], r.relay.endpoints[catalog.TokenOf("e-2")]
+		suspect.RecordUnansweredSYN(r.now, r.now, &sv.observed)
+		for suspect.Suspect(r.now) {
+			r.now += 10 * ms
+		}
+		for range 8 {
+			dead.RecordUnansweredSYN(r.now, r.now, &sv.observed)
+		}
+		r.relay.endpoints[catalog.TokenOf("i-1")].Busy = 2
+		for port := uint16(1); ; port++ {
+			r.syn(port, 0)
+			if r.relay.flows[flowOf(port)].endpoint == suspect {
+				return int(port)
+			}
+		}
+	}
+	require.Equal(t, untilTrial(false), untilTrial(true))
+}
