--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -253,3 +253,29 @@
 		require.Equal(t, exiting, outcomes["held window_full"] == 0, "%v", outcomes)
 	}
 }
+
+// TestExplainOfAnOverloadedServiceWithShares guards against an explanation that judges a
+// queue with route shares without the flow: by its route's share it is refused, or another
+// route's flow is.
+func TestExplainOfAnOverloadedServiceWithShares(t *testing.T) {
+	asked, silent := newSite(t, siteFeatures{shares: true}), newSite(t, siteFeatures{shares: true})
+	for _, s := range []*site{asked, silent} {
+		s.put(s.endpoint(0))
+	}
+	outcomes := make(map[string]int)
+	for i := range 200 {
+		// The queue fills with flows of one route before those of the other one come.
+		asked.second, silent.second = i/50%2 > 0, i/50%2 > 0
+		if i == 120 {
+			// Flows come last within their route from now on.
+			for _, s := range []*site{asked, silent} {
+				s.configure("s")
+				s.directory.Configuration().Routes[0].Priority = 4
+				s.directory.Configuration().Routes[1].Priority = 6
+			}
+		}
+		outcomes[compareSYN(t, asked, silent)]++
+	}
+	require.Positive(t, outcomes["refused overload"], "%v", outcomes)
+	require.Greater(t, outcomes["held others_wait"], 20, "%v", outcomes)
+}
