--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -110,34 +110,43 @@
 // chooser picks one of the endpoints that a new flow may go to.
 type chooser func(balance.Request, *balance.Service, []*balance.Endpoint) balance.Choice
 
-// choose picks the endpoint of a new flow from the candidates. With spillover, the flow
-// stays among the endpoints of the host's domain or leaves for those of the allowed
-// domains; if these are of no use, it goes to the cheapest one of all. While some
-// candidates of the service are left out, as cold ones may be, cost alone decides.
-func (r *Relay) choose(now time.Duration, f *flow, candidates []*balance.Endpoint, pick chooser) balance.Choice {
+// choose picks the endpoint of a new flow from the candidates, and returns those that it
+// was picked from as well. With spillover, the flow stays among the endpoints of the host's
+// domain or leaves for those of the allowed domains; if these are of no use, it goes to the
+// cheapest one of all. While some candidates of the service are left out, as cold ones may
+// be, cost alone decides.
+func (r *Relay) choose(now time.Duration, f *flow, candidates []*balance.Endpoint, pick chooser) (c balance.Choice, from []*balance.Endpoint) {
 	request, sv := r.request(now, f), f.service
-	if f.overflow != nil {
-		sv.spill.left[DepartNoRoom]++
-		return pick(request, &sv.observed, f.overflow.endpoints)
+	reason := stays
+	switch {
+	case f.overflow != nil:
+		candidates, reason = f.overflow.endpoints, DepartNoRoom
+	case sv.spill != nil && len(candidates) > 0 && &candidates[0] == &sv.candidates[0]:
+		candidates, reason = r.preferred(now, sv, request)
 	}
-	if sv.spill == nil || len(candidates) == 0 || &candidates[0] != &sv.candidates[0] {
-		return pick(request, &sv.observed, candidates)
+	choice := pick(request, &sv.observed, candidates)
+	if reason != stays {
+		sv.spill.count(choice.Endpoint, reason)
 	}
-	preferred, reason := r.spillCandidates(now, sv, request.Hash)
-	choice := pick(request, &sv.observed, preferred)
-	if reason == stays && !choice.Trial {
-		// A trial is not repeated: its endpoint waits for the result.
-		if reason = sv.homeDefect(now, choice.Endpoint); reason != stays {
-			choice = pick(request, &sv.observed, candidates)
+	return choice, candidates
+}
+
+// preferred returns the candidates of a service with spillover among which a new flow is
+// placed, and why it may go to another domain. It picks none, since that would count
+// towards the next trial of a suspect endpoint.
+func (r *Relay) preferred(now time.Duration, sv *service, request balance.Request) ([]*balance.Endpoint, Departure) {
+	candidates, reason := r.spillCandidates(now, sv, request.Hash)
+	best := balance.Preview(request, &sv.observed, candidates)
+	if reason == stays && !best.Trial {
+		if reason = sv.homeDefect(now, best.Endpoint); reason != stays {
+			candidates = sv.candidates
+			best = balance.Preview(request, &sv.observed, candidates)
 		}
 	}
-	if reason != stays && reason != DepartSuspect && !r.mayLeaveFor(now, sv, choice.Endpoint) {
-		choice, reason = pick(request, &sv.observed, sv.spill.home), stays
-	}
-	if reason != stays {
-		sv.spill.count(choice.Endpoint, reason)
+	if reason != stays && reason != DepartSuspect && !r.mayLeaveFor(now, sv, best.Endpoint) {
+		return sv.spill.home, stays
 	}
-	return choice
+	return candidates, reason
 }
 
 // homeDefect returns why a flow should not simply stay at the best endpoint of the host's
