relay: Leave slots of cold endpoints out of the window's limit

Cause: the host's share of a service's slots counted those of cold endpoints, which get a few flows a second from one host. After the evacuation of a third of the endpoints, each host let half as many requests more wait at the warm ones as they have slots for. Change: slots of limited cold endpoints don't count; at least one slot does, since the time of a queue is divided by them.

--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -179,6 +179,22 @@
 	return c.gate.Allows(now, &r.options.Cold, c.entry.ID, c.entry.Domain, sv.cold.limit)
 }
 
+// warmSlots returns the number of a service's slots without those of its cold endpoints if
+// these are limited: few flows go there, so that the others would wait at the warm ones.
+func (r *Relay) warmSlots(now time.Duration, sv *service) int {
+	if sv.cold == nil || now >= sv.cold.until || len(sv.candidates) == 0 {
+		return sv.slots
+	}
+	warm := sv.slots
+	for _, e := range sv.candidates {
+		if r.coldState(now, sv, e) != nil {
+			warm -= max(e.Entry.Slots, 1)
+		}
+	}
+	// The time that a queue takes is divided by the slots.
+	return max(warm, 1)
+}
+
 // noCandidate returns why a service has no endpoint for a new flow.
 func (sv *service) noCandidate() Rejection {
 	if len(sv.candidates) > 0 {
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -184,3 +185,28 @@
 	r.now += coldFor
 	require.Equal(t, "i-1", r.place(20), "it is warm")
 }
+
+// TestWindowCountsNoSlotsOfColdEndpoints guards against a window that lets flows for the
+// slots of all endpoints wait at the few warm ones, as after an evacuation of a domain, and
+// against a limit that is no number if all endpoints are cold.
+func TestWindowCountsNoSlotsOfColdEndpoints(t *testing.T) {
+	limit := func(warm, cold int) float64 {
+		r := limitedHarness(t, warm, "other")
+		for i := range cold {
+			r.report(fmt.Sprintf("c-%d", i), 1, coldFor)
+		}
+		return r.relay.Explain(r.now, theFlow, 0).Limit
+	}
+	require.InDelta(t, limit(4, 0), limit(4, 8), 0.01)
+	require.Greater(t, limit(4, 0), limit(2, 0))
+
+	r := limitedHarness(t, 0, "self")
+	r.report("c-1", 1, coldFor)
+	r.relay.options.Cold.Bounds.Allowance = 500
+	r.publish()
+	for port := range uint16(150) {
+		r.syn(port, 0)
+	}
+	_, events := r.drain()
+	require.Contains(t, events, "rejected overload", "flows that can't be served are refused at once")
+}
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -118,7 +118,7 @@
 	x.Route, x.Service = route.Name, sv.name
 	x.InFlight, x.Held = sv.inFlight, len(sv.held)
 	if sv.window.Closed() && !r.holdsNothing() {
-		x.Limit = sv.window.Limit(r.fairLimit(sv))
+		x.Limit = sv.window.Limit(r.fairLimit(now, sv))
 	}
 	// The decision is made on a copy of the service, with its window, and on a flow that
 	// is not in the table, so that what it records is discarded.
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -52,20 +52,22 @@
 }
 
 // slotShare returns the host's share of a service's slots.
-func (r *Relay) slotShare(sv *service) float64 { return float64(sv.slots) / float64(r.hosts()) }
+func (r *Relay) slotShare(now time.Duration, sv *service) float64 {
+	return float64(r.warmSlots(now, sv)) / float64(r.hosts())
+}
 
 // fairLimit returns how many requests of a service the host may always let wait for
 // answers: its share of the slots, with as many waiting requests as keep them in use.
 // The margin for random variation and slotAllowance are not added up: both answer that
 // requests are spread at random, one over the hosts, the other over the endpoints. A
 // request takes no slot during the round trips of its handshake and its answer.
-func (r *Relay) fairLimit(sv *service) float64 {
+func (r *Relay) fairLimit(now time.Duration, sv *service) float64 {
 	answer := float64(sv.observed.UsualAnswerTime())
 	roundTrip := answer / unknownRoundTrip
 	if r.handshakeTimeout.roundTrip() > 0 && sv.observed.Measured() {
 		roundTrip = min(float64(r.handshakeTimeout.roundTrip()), answer/2)
 	}
-	share := r.slotShare(sv)
+	share := r.slotShare(now, sv)
 	limit := max(share*slotAllowance, balance.LimitWithMargin(share, r.hosts()))
 	return limit * (answer + roundTrip) / (answer - roundTrip)
 }
@@ -75,7 +77,7 @@
 	if r.holdsNothing() {
 		return false
 	}
-	return len(sv.held) > 0 || sv.window.Full(now, sv.inFlight, r.fairLimit(sv))
+	return len(sv.held) > 0 || sv.window.Full(now, sv.inFlight, r.fairLimit(now, sv))
 }
 
 // holdsNothing reports whether flows are forwarded or rejected without a wait.
@@ -112,7 +114,7 @@
 // caller's attempt ends, or nil.
 func (r *Relay) surplus(now time.Duration, sv *service) *flow {
 	last := sv.held[sv.last(now)]
-	if len(sv.held) > maxHeld || now+r.queueTime(sv) > last.waiter.Until {
+	if len(sv.held) > maxHeld || now+r.queueTime(now, sv) > last.waiter.Until {
 		return last
 	}
 	return nil
@@ -121,10 +123,10 @@
 // queueTime returns the expected time until all held flows of a service have been
 // forwarded: by Little's law, as many as may wait for answers in each answer time.
 // Until answers have been seen, it counts the slots and what waits for them.
-func (r *Relay) queueTime(sv *service) time.Duration {
-	ahead, atOnce := float64(len(sv.held)), sv.window.Limit(r.fairLimit(sv))
+func (r *Relay) queueTime(now time.Duration, sv *service) time.Duration {
+	ahead, atOnce := float64(len(sv.held)), sv.window.Limit(r.fairLimit(now, sv))
 	if !sv.observed.Measured() {
-		atOnce = r.slotShare(sv)
+		atOnce = r.slotShare(now, sv)
 		ahead += max(0, float64(sv.inFlight)-atOnce)
 	}
 	return time.Duration(ahead * float64(sv.observed.UsualAnswerTime()) / atOnce)
@@ -180,7 +182,7 @@
 		return
 	}
 	for _, sv := range r.services {
-		for len(sv.held) > 0 && (r.draining || r.lagging || !sv.window.Full(now, sv.inFlight, r.fairLimit(sv))) {
+		for len(sv.held) > 0 && (r.draining || r.lagging || !sv.window.Full(now, sv.inFlight, r.fairLimit(now, sv))) {
 			f := sv.held[sv.next(now)]
 			sv.releases++
 			if now >= f.waiter.Until {
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -217,7 +217,7 @@
 	if f.answerTime > 0 && !small {
 		f.recordSpillAnswer(now)
 		sv := f.service
-		sv.window.RecordAnswer(now, f.answerTime, f.valuable(), sv.inFlight, r.fairLimit(sv))
+		sv.window.RecordAnswer(now, f.answerTime, f.valuable(), sv.inFlight, r.fairLimit(now, sv))
 	}
 	f.answerTime = 0
 }
