relay: Keep spillover in use while some endpoints are cold

Cause: choose applied spillover only to the whole list of candidates. Change: the endpoints that are left out are also left out of the home and remote lists; if that takes more than half of the home ones, cost decides among all, as for unanswered SYNs.

--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -23,7 +23,8 @@
 	DepartFull
 	// DepartFailing: all endpoints of the host's domain fail requests.
 	DepartFailing
-	// DepartCold: the cheapest endpoint of the host's domain is cold.
+	// DepartCold: the cheapest endpoint of the host's domain is cold, or this host may not
+	// send flows to most of its endpoints since they are.
 	DepartCold
 	// DepartFailover: the SYN failed over to another endpoint.
 	DepartFailover
@@ -44,10 +45,13 @@
 // spill is the state of a service whose new flows may leave the failure domain.
 type spill struct {
 	controller *spillover.Controller
-	// home and remote are the service's candidates in the host's domain and in those
-	// that flows may leave for, as of the revision of the controller.
+	// home and remote are the candidates in the host's domain and in those that flows may
+	// leave for, as of the revision of the controller. They are partial if cold endpoints
+	// are left out; homeCount is the number of those in the host's domain without that.
 	home, remote []*balance.Endpoint
 	revision     uint64
+	partial      bool
+	homeCount    int
 	left         [departures]int64
 	// spilling is set while the share is above 0, as reported last.
 	spilling bool
@@ -82,6 +86,7 @@
 		p.controller.AddSlots(e.Entry.Domain, max(e.Entry.Slots, 1))
 	}
 	p.split(candidates)
+	p.partial, p.homeCount = false, len(p.home)
 }
 
 // split sorts the candidates into home and remote ones.
@@ -104,14 +109,14 @@
 // choose picks the endpoint of a new flow from the candidates, and returns those that it
 // was picked from as well. With spillover, the flow
 // stays among the endpoints of the host's domain or leaves for those of the allowed
-// domains; if these are of no use, it goes to the cheapest one of all. While some
-// candidates of the service are left out, as cold ones may be, cost alone decides.
+// domains; if these are of no use, it goes to the cheapest one of all. Among evacuated
+// endpoints, which are the last resort, cost alone decides.
 func (r *Relay) choose(now time.Duration, f *flow, candidates []*balance.Endpoint, pick chooser) (c balance.Choice, from []*balance.Endpoint) {
 	request, sv := r.request(now, f), f.service
-	if sv.spill == nil || len(candidates) == 0 || &candidates[0] != &sv.candidates[0] {
+	if sv.spill == nil || len(candidates) == 0 || r.view.Evacuated(candidates[0].Entry.Domain) {
 		return pick(request, &sv.observed, candidates), candidates
 	}
-	preferred, reason := r.spillCandidates(now, sv, request.Hash)
+	preferred, reason := sv.spillCandidates(now, candidates, request.Hash)
 	if reason == stays {
 		// Not picked, since that counts towards the next trial of a suspect endpoint.
 		best := balance.Preview(request, &sv.observed, preferred)
@@ -145,21 +150,26 @@
 
 // spillCandidates returns the endpoints among which a new flow is placed, and the reason
 // if it is placed in another domain.
-func (r *Relay) spillCandidates(now time.Duration, sv *service, hash uint64) ([]*balance.Endpoint, Departure) {
+func (sv *service) spillCandidates(now time.Duration, candidates []*balance.Endpoint, hash uint64) ([]*balance.Endpoint, Departure) {
 	p := sv.spill
 	leaves := p.controller.Leaves(now, hash)
-	if p.revision != p.controller.Revision() {
-		p.split(sv.candidates)
+	partial := len(candidates) < len(sv.candidates)
+	if p.revision != p.controller.Revision() || partial || p.partial {
+		p.split(candidates)
+		p.partial = partial
 	}
 	switch {
-	case len(p.home) == 0:
-		return sv.candidates, DepartNoHome
+	case p.homeCount == 0:
+		return candidates, DepartNoHome
 	case leaves && mostlyAnswer(p.remote):
 		return p.remote, DepartSpillover
+	case 2*len(p.home) < p.homeCount:
+		// The rest would be overloaded by all flows.
+		return candidates, DepartCold
 	case mostlyAnswer(p.home):
 		return p.home, stays
 	}
-	return sv.candidates, DepartSuspect
+	return candidates, DepartSuspect
 }
 
 // mostlyAnswer reports whether at least half of the endpoints have no unanswered SYN.
--- a/internal/relay/spillover_test.go
+++ b/internal/relay/spillover_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"toucangap/internal/catalog"
+	"toucangap/internal/coldstart"
 	"toucangap/internal/segment"
 )
 
@@ -153,3 +154,50 @@
 	}
 	require.Equal(t, untilTrial(false), untilTrial(true))
 }
+
+// limitCold lets another host own all cold endpoints of a harness.
+func (r *harness) limitCold() {
+	var registry coldstart.Registry
+	registry.Put(0, coldstart.Host{Name: "other", Domain: "d"})
+	hosts := registry.Snapshot()
+	r.relay.options.Cold = coldstart.Rules{
+		Host: coldstart.Host{Name: "self", Domain: "d"}, Hosts: func() *coldstart.Hosts { return hosts },
+		ViewAge: func() time.Duration { return 0 }, MaxViewAge: 2 * time.Second, Bounds: coldstart.Bounds{Factor: 1, Allowance: 1},
+	}
+	r.directory.Configuration().ColdStarts = map[string]catalog.ColdStart{"s": {For: lifetime, PerSecond: 3}}
+}
+
+// TestSpilloverWhileAnEndpointIsCold guards against flows that stay in a congested domain,
+// or that are not counted, for as long as any endpoint of the service is cold, and against
+// a domain whose few warm endpoints get all of its flows.
+func TestSpilloverWhileAnEndpointIsCold(t *testing.T) {
+	frame := make([]byte, 40)
+	r := newSpilloverHarness(t, 4, 4)
+	r.limitCold()
+	r.report("i-4", 1, lifetime)
+	left := int64(0)
+	for port := range uint16(300) {
+		home := 20 * ms
+		if port >= 200 {
+			home = 100 * ms
+		}
+		if r.timedFlow(port, frame, home, 20*ms) {
+			left++
+		}
+	}
+	state := r.relay.Spillover(r.now)[0]
+	require.Greater(t, state.Left[DepartSpillover], int64(20))
+	require.Equal(t, left, state.Left[DepartSpillover])
+
+	for cold := 3; cold <= 4; cold++ {
+		r = newSpilloverHarness(t, 4, 4)
+		r.limitCold()
+		for i := range cold {
+			r.report(fmt.Sprintf("i-%d", i+1), 1, lifetime)
+		}
+		for port := range uint16(8) {
+			r.syn(port, 0)
+		}
+		require.Positive(t, r.relay.Spillover(r.now)[0].Left[DepartCold], "%d cold", cold)
+	}
+}
