--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -179,6 +179,22 @@
 	return c.gate.Allows(now, &r.options.Cold, c.entry.ID, c.entry.Domain, sv.cold.limit)
 }
 
+// warmSlots returns the number of the candidates' slots without those of cold endpoints if
+// these are limited: few flows go there, so that the others would wait at the warm ones.
+func (r *Relay) warmSlots(now time.Duration, sv *service, candidates []*balance.Endpoint) (slots int) {
+	limited := sv.cold != nil && now < sv.cold.until
+	if !limited && len(candidates) == len(sv.candidates) {
+		return max(sv.slots, 1)
+	}
+	for _, e := range candidates {
+		if !limited || r.coldState(now, sv, e) == nil {
+			slots += max(e.Entry.Slots, 1)
+		}
+	}
+	// The time that a queue takes is divided by the slots.
+	return max(slots, 1)
+}
+
 // noCandidate returns why a service has no endpoint for a new flow.
 func (sv *service) noCandidate() Rejection {
 	if len(sv.candidates) > 0 {
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -53,21 +53,18 @@
 
 // slotShare returns the host's share of a service's slots. With spillover, the window is
 // that of the host's own domain: flows to other domains do not count in it.
-func (r *Relay) slotShare(sv *service) float64 {
-	slots, hosts := r.sharedSlots(sv)
+func (r *Relay) slotShare(now time.Duration, sv *service) float64 {
+	slots, hosts := r.sharedSlots(now, sv)
 	return float64(slots) / float64(hosts)
 }
 
 // sharedSlots returns the slots that the window is about, and the number of hosts that
 // share them.
-func (r *Relay) sharedSlots(sv *service) (slots, hosts int) {
-	if sv.spill == nil || len(sv.spill.home) == 0 || r.options.HomeHosts == nil {
-		return sv.slots, r.hosts()
+func (r *Relay) sharedSlots(now time.Duration, sv *service) (slots, hosts int) {
+	if !r.spills(sv) || r.options.HomeHosts == nil {
+		return r.warmSlots(now, sv, sv.candidates), r.hosts()
 	}
-	for _, e := range sv.spill.home {
-		slots += max(e.Entry.Slots, 1)
-	}
-	return slots, max(1, r.options.HomeHosts())
+	return r.warmSlots(now, sv, sv.spill.home), max(1, r.options.HomeHosts())
 }
 
 // fairLimit returns how many requests of a service the host may always let wait for
@@ -75,13 +72,13 @@
 // The margin for random variation and slotAllowance are not added up: both answer that
 // requests are spread at random, one over the hosts, the other over the endpoints. A
 // request takes no slot during the round trips of its handshake and its answer.
-func (r *Relay) fairLimit(sv *service) float64 {
+func (r *Relay) fairLimit(now time.Duration, sv *service) float64 {
 	answer := float64(sv.observed.UsualAnswerTime())
 	roundTrip := answer / unknownRoundTrip
 	if r.handshakeTimeout.roundTrip() > 0 && sv.observed.Measured() {
 		roundTrip = min(float64(r.handshakeTimeout.roundTrip()), answer/2)
 	}
-	slots, hosts := r.sharedSlots(sv)
+	slots, hosts := r.sharedSlots(now, sv)
 	share := float64(slots) / float64(hosts)
 	limit := max(share*slotAllowance, balance.LimitWithMargin(share, hosts))
 	return limit * (answer + roundTrip) / (answer - roundTrip)
@@ -92,7 +89,7 @@
 	if r.holdsNothing() {
 		return false
 	}
-	return len(sv.held) > 0 || sv.window.Full(now, sv.inFlight, r.fairLimit(sv))
+	return len(sv.held) > 0 || sv.window.Full(now, sv.inFlight, r.fairLimit(now, sv))
 }
 
 // holdsNothing reports whether flows are forwarded or rejected without a wait.
@@ -139,12 +136,12 @@
 // forwarded: by Little's law, as many as may wait for answers in each answer time.
 // Until answers have been seen, it counts the slots and what waits for them.
 func (r *Relay) queueTime(now time.Duration, sv *service) time.Duration {
-	ahead, atOnce := float64(len(sv.held)), sv.window.Limit(r.fairLimit(sv))
+	ahead, atOnce := float64(len(sv.held)), sv.window.Limit(r.fairLimit(now, sv))
 	if !sv.observed.Measured() {
-		atOnce = r.slotShare(sv)
+		atOnce = r.slotShare(now, sv)
 		ahead += max(0, float64(sv.inFlight)-atOnce)
 	}
-	atOnce += sv.overflowLimit(now)
+	atOnce += r.overflowLimit(now, sv)
 	return time.Duration(ahead * float64(sv.observed.UsualAnswerTime()) / atOnce)
 }
 
@@ -200,7 +197,7 @@
 	for _, sv := range r.services {
 		for len(sv.held) > 0 {
 			var elsewhere *overflow
-			if !r.draining && !r.lagging && sv.window.Full(now, sv.inFlight, r.fairLimit(sv)) {
+			if !r.draining && !r.lagging && sv.window.Full(now, sv.inFlight, r.fairLimit(now, sv)) {
 				if elsewhere = r.overflowWithRoom(now, sv); elsewhere == nil {
 					break
 				}
--- a/internal/relay/overflow.go
+++ b/internal/relay/overflow.go
@@ -47,8 +47,8 @@
 
 // overflowOf returns the record that a flow to the endpoint counts in, nil if it counts in
 // the service: with spillover off, at home, or if all flows leave for lack of a home.
-func (sv *service) overflowOf(e *balance.Endpoint) *overflow {
-	if sv.spill == nil || len(sv.spill.home) == 0 {
+func (r *Relay) overflowOf(sv *service, e *balance.Endpoint) *overflow {
+	if !r.spills(sv) {
 		return nil
 	}
 	return sv.spill.overflow(e.Entry.Domain)
@@ -57,7 +57,7 @@
 // overflowWithRoom returns the other domain to which a flow of the service goes that would
 // have to wait in the host's domain: the one with most room, nil if none has any.
 func (r *Relay) overflowWithRoom(now time.Duration, sv *service) *overflow {
-	if sv.spill == nil || len(sv.spill.home) == 0 || r.holdsNothing() {
+	if !r.spills(sv) || r.holdsNothing() {
 		return nil
 	}
 	if sv.cold != nil && now < sv.cold.until {
@@ -80,7 +80,7 @@
 // mayLeaveFor reports whether a flow that would not have to wait at home may go to the
 // endpoint: while the endpoints at home are congested, those of other domains may be, too.
 func (r *Relay) mayLeaveFor(now time.Duration, sv *service, e *balance.Endpoint) bool {
-	o := sv.overflowOf(e)
+	o := r.overflowOf(sv, e)
 	return o == nil || !sv.window.Closed() || o.limit.Room(now, o.inFlight)
 }
 
@@ -92,8 +92,8 @@
 }
 
 // overflowLimit returns how many requests may wait in other domains.
-func (sv *service) overflowLimit(now time.Duration) (limit float64) {
-	if sv.spill == nil || len(sv.spill.home) == 0 {
+func (r *Relay) overflowLimit(now time.Duration, sv *service) (limit float64) {
+	if !r.spills(sv) {
 		return 0
 	}
 	for _, o := range sv.spill.overflows {
--- a/internal/relay/overflow_test.go
+++ b/internal/relay/overflow_test.go
@@ -15,6 +15,7 @@
 	r := twoDomains(t)
 	options := r.relay.options
 	options.Spillover = true
+	options.Hosts = func() int { return minSpilloverHosts }
 	options.HomeHosts = func() int { return 1 }
 	r.relay = New(options, r.now)
 	r.publish()
@@ -94,5 +95,5 @@
 		}
 	}
 	require.Equal(t, home, sv.inFlight)
-	require.InDelta(t, 2, r.relay.slotShare(sv), 0.01, "the slots of the home domain")
+	require.InDelta(t, 2, r.relay.slotShare(r.now, sv), 0.01, "the slots of the home domain")
 }
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -231,7 +231,7 @@
 		return
 	}
 	sv := f.service
-	sv.window.RecordAnswer(now, f.answerTime, f.valuable(), sv.inFlight, r.fairLimit(sv))
+	sv.window.RecordAnswer(now, f.answerTime, f.valuable(), sv.inFlight, r.fairLimit(now, sv))
 }
 
 // recordOutcome records whether a request of the flow failed.
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -116,7 +116,7 @@
 	p.Choice, _ = r.choose(now, f, candidates, r.options.Choose)
 	r.notifySpillover(now, f.service)
 	p.Endpoint = p.Choice.Endpoint.Entry
-	f.overflow = f.service.overflowOf(p.Choice.Endpoint)
+	f.overflow = r.overflowOf(f.service, p.Choice.Endpoint)
 	if !r.admits(route, p.Choice) {
 		r.removeFlow(f)
 		r.reject(now, p, 0, RejectOverload)
