site: Tighten the limit at cold endpoints of the soak to 3 flows

Cause: with a limit of 6 none of six drawn schedules with cold starts failed though no host limits anything, since hosts prefer warm endpoints at the soak's load; endpoints of the second service get 3.75 flows a second in any case. Change: an allowance of 2 in the stand-in's settings, so a limit of 3.

--- a/standin/site/cold.go
+++ b/standin/site/cold.go
@@ -9,12 +9,12 @@
 // cold endpoint.
 const (
 	// coldFor is how long an endpoint is cold after its start, coldPerSecond the number
-	// of requests a second that it bears meanwhile: so few that the limit is below a
-	// third of what each endpoint of the first service gets at 150 requests a second.
+	// of requests a second that it bears meanwhile: so few that the limit is below
+	// what each endpoint of either service gets at 150 requests a second.
 	coldFor       = 3 * time.Second
 	coldPerSecond = 1
 	coldFactor    = 1.5
-	coldAllowance = 5
+	coldAllowance = 2
 )
 
 // coldLimit returns the maximum number of new flows at a cold endpoint within a second.
