--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -17,8 +17,8 @@
 
 // drawColdStarts is the switch for drawn schedules in which endpoints start cold: with it,
 // the kinds of coldKinds are drawn, and all endpoints that start during a run are cold and
-// checked. It is off until hosts limit the new flows at cold endpoints (docs/SOAK.md).
-const drawColdStarts = false
+// checked. Seeds before the switch was turned on mean other schedules (docs/SOAK.md).
+const drawColdStarts = true
 
 // Fault is one fault of a schedule.
 type Fault struct {
