relay: Keep copies of SYNs in an isolated evacuated domain

Cause: a flow that the last resort had sent to the host's evacuated domain counted as one whose domain was evacuated since. Copies of its SYN were placed as new flows, and its failover was dropped when no other endpoint was left. Change: the host's domain does not count as left while it is the last resort. Result: TestCopiesStayInAnIsolatedDomain.

--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -124,3 +124,28 @@
 	sent, _ := r.drain()
 	require.Equal(t, []string{"i-far"}, sent, "the other domain answers")
 }
+
+// TestCopiesStayInAnIsolatedDomain guards against copies of SYNs that count as new flows,
+// and may open a second one, while an isolated host uses its evacuated domain.
+func TestCopiesStayInAnIsolatedDomain(t *testing.T) {
+	r := twoDomains(t)
+	r.addEndpoint("i-2", "s")
+	r.relay.options.Isolated = func() bool { return true }
+	r.evacuate("d")
+	r.syn(1, 0)
+	r.advance(2 * time.Second)
+	placed := r.relay.Stats().Placed
+	r.drain()
+	r.syn(2, 0)
+	r.syn(2, 0)
+	sent, _ := r.drain()
+	require.Len(t, sent, 2)
+	require.Equal(t, sent[0], sent[1], "a network duplicate")
+	r.advance(100 * ms)
+	r.syn(2, 1)
+	sent, events := r.drain()
+	require.NotContains(t, sent, "i-far")
+	require.NotContains(t, events, "dropped evacuated", "a copy is sent again if no endpoint is left")
+	require.NotEmpty(t, sent)
+	require.Equal(t, placed+1, r.relay.Stats().Placed)
+}
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -44,7 +44,7 @@
 func (r *Relay) handleRetransmittedSYN(now time.Duration, f *flow, route *catalog.Route, s segment.Segment, frame []byte) {
 	r.stats.RetransmittedSYNs++
 	f.lastSeen = now
-	rerouted := !route.Allows(f.service.name) || r.leftDomain(f)
+	rerouted := !route.Allows(f.service.name) || r.leftDomain(now, f)
 	duplicate := now-f.sentAt < duplicateWindow
 	if f.state == stateOpen || (duplicate && !rerouted) {
 		r.forward(f.endpoint.Entry, frame)
@@ -64,9 +64,13 @@
 }
 
 // leftDomain reports whether the flow's endpoint, which may have accepted its SYN, is in a
-// failure domain that was evacuated since.
-func (r *Relay) leftDomain(f *flow) bool {
-	return f.endpoint != nil && r.view.Evacuated(f.endpoint.Entry.Domain)
+// failure domain that was evacuated since. That of the host does not count as long as new
+// flows go there as the last resort.
+func (r *Relay) leftDomain(now time.Duration, f *flow) bool {
+	if f.endpoint == nil || !r.view.Evacuated(f.endpoint.Entry.Domain) {
+		return false
+	}
+	return f.endpoint.Entry.Domain != r.options.Domain || len(r.lastResort(now, f.service)) == 0
 }
 
 // place forwards the SYN of a new flow, holds it, or rejects it.
@@ -189,7 +193,7 @@
 		request.Tried = f.triedEndpoints()
 		p.Choice = r.options.Choose(request, &f.service.observed, r.candidates(now, f.service))
 	}
-	if p.Choice.Endpoint == nil && r.leftDomain(f) {
+	if p.Choice.Endpoint == nil && r.leftDomain(now, f) {
 		r.drop(now, f.key, DropEvacuated)
 		return
 	}
