outlier: Clamp sums of reports that rounding took below 0

Cause: sums over hosts are kept by adding and subtracting, so that a sum of failures may be a little below 0, or above that of answers. Peers discard such a report, with the answers of all hosts that it stands for, and count failures against too few answers. Change: ReportsOfOthers clamps both sums.

--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -143,7 +143,9 @@
 		if reported && total.hosts == 1 {
 			continue
 		}
-		others = append(others, Report{token, total.Answers - s.Answers, total.Failed - s.Failed})
+		// Sums may be off by rounding; peers discard reports that can't be counts.
+		failed := max(0, total.Failed-s.Failed)
+		others = append(others, Report{token, max(failed, total.Answers-s.Answers), failed})
 	}
 	slices.SortFunc(others, func(a, b Report) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return others
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -116,3 +116,21 @@
 		}
 	})
 }
+
+// TestSumsWithoutFailuresAreNotNegative guards against reports that peers discard, with the
+// answers of all hosts in them, since a sum of failures is a little below 0 by rounding.
+func TestSumsWithoutFailuresAreNotNegative(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewAggregator()
+		failed := rapid.SampledFrom([]float64{0, 0.1, 0.3, 0.7, 1.1})
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			host := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "host")
+			f := failed.Draw(t, "failed")
+			a.SetReports(0, host, []Report{{1, f + failed.Draw(t, "good"), f}})
+			for _, s := range a.ReportsOfOthers(0, rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "requester")) {
+				require.GreaterOrEqual(t, s.Failed, 0.0)
+				require.GreaterOrEqual(t, s.Answers, s.Failed)
+			}
+		}
+	})
+}
