relay: Charge routes only for flows that were released

Cause: release charged the route before it was known whether the flow would be placed. When the endpoints became cold, all held flows were rejected and charged, and the route then got no room for as many releases of the others. Change: the charge follows the placement. Shares.Charge may come after Remove.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -115,11 +115,13 @@
 }
 
 // Charge takes the cost of a release from the slot's route. The caller removes the
-// request as well.
+// request as well, before or afterwards.
 func (s *Shares) Charge(slotIndex int) {
 	at := &s.slots[slotIndex]
 	at.credit -= at.cost()
-	at.releases++
+	if at.waiting > 0 {
+		at.releases++
+	}
 	s.next = (slotIndex + 1) % len(s.slots)
 }
 
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -201,7 +201,7 @@
 		r.dropMoved(now, f)
 		return
 	}
-	f.service.chargeRelease(f)
+	held, slot := f.service, f.slot
 	r.removeHeld(f)
 	route := r.view.Route(f.key.Destination)
 	if route != nil {
@@ -217,7 +217,11 @@
 	}
 	counts, placed := f.counts, r.stats.Placed
 	r.open(now, f, route, f.synFrame[:f.synLength])
-	counts.addOutcome(r.stats.Placed > placed)
+	released := r.stats.Placed > placed
+	counts.addOutcome(released)
+	if released {
+		held.chargeRelease(slot)
+	}
 }
 
 // handleHoldTimeout rejects a held flow whose caller's attempt is about to end: the
--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -87,10 +87,11 @@
 	}
 }
 
-// chargeRelease charges a held flow's route for the release of the flow.
-func (sv *service) chargeRelease(f *flow) {
+// chargeRelease charges the route of a slot for the release of a flow, which has been
+// removed. One that was rejected after all takes no room.
+func (sv *service) chargeRelease(slot int) {
 	if sv.shares != nil {
-		sv.shares.Charge(f.slot)
+		sv.shares.Charge(slot)
 	}
 }
 
--- a/internal/relay/shares_test.go
+++ b/internal/relay/shares_test.go
@@ -119,3 +119,28 @@
 	}
 	require.Len(t, r.relay.RouteCounts(), maxCountedRoutes+1)
 }
+
+// TestRejectedFlowsAreNotCharged: the held flows of a burst are all rejected when their
+// endpoints become cold. Charged as released, the route would get no room for as many
+// releases of the other one.
+func TestRejectedFlowsAreNotCharged(t *testing.T) {
+	r := sharesHarness(t, true)
+	r.limitCold()
+	for port := uint16(200); port < 250; port++ {
+		r.routeSYN(1, port)
+	}
+	r.report("i-1", 1, coldFor)
+	require.Zero(t, r.relay.heldFlows)
+	require.Greater(t, r.counts("burst").Rejected, int64(40))
+	r.report("i-1", 2, 0)
+	for port := uint16(300); port < 320; port++ {
+		r.routeSYN(0, port)
+		r.routeSYN(1, port)
+	}
+	sv := r.relay.service("s")
+	for range 10 {
+		r.relay.release(r.now, sv.held[sv.next(r.now)])
+	}
+	require.Greater(t, r.counts("burst").Released, int64(3))
+	require.Greater(t, r.counts("steady").Released, int64(3))
+}
