relay: Take all endpoints of a silent domain for possibly restarted

Hosts took those that had left SYNs unanswered for possibly cold, so that the ones they had not tried got all the flows: 4 in a second where 3 are allowed. Change: while no endpoint of the domain has shown life since an unanswered SYN whose caller was waiting, all of them count as silent. What stays: hosts that sent nothing while an endpoint was down are not limited until its entry arrives.

--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -233,13 +233,31 @@
 	if sv.cold == nil || r.lagging || e.UnansweredSYNs() == 0 || e.AliveSince(f.triedAt[n]) {
 		return
 	}
+	r.presumeSilent(now, sv, e, f.triedAt[n])
+	domain := e.Entry.Domain
+	for _, other := range sv.candidates {
+		if other.Entry.Domain == domain && other.AliveSince(f.triedAt[n]) {
+			return
+		}
+	}
+	for _, other := range sv.candidates {
+		if other.Entry.Domain == domain {
+			r.presumeSilent(now, sv, other, f.triedAt[n])
+		}
+	}
+}
+
+// presumeSilent lets an endpoint count as silent since the given time. While no endpoint
+// of its domain has shown that it is alive since, those that were not tried count as
+// silent, too: they often restart together, and would get all flows that the others don't.
+func (r *Relay) presumeSilent(now time.Duration, sv *service, e *balance.Endpoint, since time.Duration) {
 	c := sv.cold.get(e)
 	if !c.silent {
-		c.silent, c.silentSince = true, f.triedAt[n]
+		c.silent, c.silentSince = true, since
 		r.stats.PresumedCold++
 		r.options.Observer.PresumedCold(now, e, silenceTimeout, false)
 	}
-	c.silentSince = min(c.silentSince, f.triedAt[n])
+	c.silentSince = min(c.silentSince, since)
 	c.silentAt, c.silentEntry = now, e.Entry
 	sv.cold.presume(c, now+silenceTimeout)
 }
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
 	"toucangap/internal/coldstart"
 )
@@ -210,3 +211,39 @@
 	_, events := r.drain()
 	require.Contains(t, events, "rejected overload", "flows that can't be served are refused at once")
 }
+
+// TestSilentDomainCountsAsCold: endpoints of a domain restart together; those that this
+// host had not tried got all its flows before their entries told of the restart.
+func TestSilentDomainCountsAsCold(t *testing.T) {
+	for name, alive := range map[string]bool{"another endpoint of the domain is alive": true, "the domain is silent": false} {
+		r := limitedHarness(t, 3, "other")
+		r.revision++
+		r.directory.PutEndpoint(r.now, &catalog.Endpoint{ID: "i-far", Recipient: 1, Service: "s", Domain: "far", Slots: 2},
+			catalog.Position{Revision: r.revision})
+		r.publish()
+		r.relay.options.Choose = func(q balance.Request, s *balance.Service, list []*balance.Endpoint) balance.Choice {
+			want := []string{"i-1", "i-far"}[min(len(q.Tried), 1)]
+			i := slices.IndexFunc(list, func(e *balance.Endpoint) bool { return e.Entry.ID == want })
+			return balance.Choice{Endpoint: list[max(i, 0)]}
+		}
+		r.syn(1, 0)
+		if alive {
+			r.ack(2, "i-3", 1, 10)
+			r.ack(2, "i-3", 500, 0)
+			r.relay.endpoints[catalog.TokenOf("i-3")].RecordAlive(r.now + ms)
+		}
+		r.advance(150 * ms)
+		r.ack(1, "i-far", 5001, 10)
+		var cold []string
+		for _, e := range r.relay.Endpoints(r.now) {
+			if e.Cold {
+				cold = append(cold, e.ID)
+			}
+		}
+		want := []string{"i-1", "i-2", "i-3"}
+		if alive {
+			want = want[:1]
+		}
+		require.Equal(t, want, cold, name)
+	}
+}
