relay: Explain without probes of the store

Cause: Explain asked Options.Isolated, which makes the host probe the store: a priced call by a query that must send nothing. Change: Isolated takes whether it may probe; the copy that Explain decides by may not.

--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -169,7 +169,7 @@
 func TestIsolatedDomainKeepsTheColdLimit(t *testing.T) {
 	r := limitedHarness(t, 1, "self")
 	r.put(catalog.Endpoint{ID: "i-far", Domain: "far", Slots: 2})
-	r.relay.options.Isolated = func() bool { return true }
+	r.relay.options.Isolated = func(bool) bool { return true }
 	r.evacuate("d")
 	r.report("i-1", 2, coldFor)
 	r.syn(1, 0)
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -93,7 +93,7 @@
 func TestIsolatedDomainServesItself(t *testing.T) {
 	isolated := false
 	r := twoDomains(t)
-	r.relay.options.Isolated = func() bool { return isolated }
+	r.relay.options.Isolated = func(bool) bool { return isolated }
 	r.evacuate("d")
 	unanswered := func(port uint16) {
 		r.syn(port, 0)
@@ -130,7 +130,7 @@
 func TestCopiesStayInAnIsolatedDomain(t *testing.T) {
 	r := twoDomains(t)
 	r.addEndpoint("i-2", "s")
-	r.relay.options.Isolated = func() bool { return true }
+	r.relay.options.Isolated = func(bool) bool { return true }
 	r.evacuate("d")
 	r.syn(1, 0)
 	r.advance(2 * time.Second)
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -123,6 +123,7 @@
 	// The decision is made on a copy of the service, with its window, and on a flow that
 	// is not in the table, so that what it records is discarded.
 	trial := *sv
+	trial.preview = true
 	trial.spill = sv.spill.clone()
 	added := &flow{
 		key: key, service: &trial, startedAt: now,
--- a/internal/relay/explain_site_test.go
+++ b/internal/relay/explain_site_test.go
@@ -23,6 +23,8 @@
 	second   bool
 	hosts    int
 	isolated bool
+	// probes counts the questions for which the store may be probed.
+	probes   int
 	viewAge  time.Duration
 	registry coldstart.Registry
 	known    *coldstart.Hosts
@@ -48,7 +50,12 @@
 		Hosts: func() int { return s.hosts }, Spillover: features.spillover, RouteShares: features.shares,
 	}
 	if features.isolation {
-		o.Isolated = func() bool { return s.isolated }
+		o.Isolated = func(probe bool) bool {
+			if probe {
+				s.probes++
+			}
+			return s.isolated
+		}
 	}
 	if features.coldLimit {
 		o.Cold = coldstart.Rules{
@@ -239,7 +246,7 @@
 
 // state returns a copy of what decisions depend on.
 func (s *site) state() map[any]any {
-	all := make(map[any]any)
+	all := map[any]any{"probes": s.probes}
 	for name, sv := range s.relay.services {
 		c := *sv
 		c.spill, c.shares = sv.spill.clone(), sv.shares.Clone()
--- a/internal/relay/isolation.go
+++ b/internal/relay/isolation.go
@@ -42,7 +42,7 @@
 			unanswered++
 		}
 	}
-	if unanswered < min(isolationSYNs, len(sv.candidates)) || !r.options.Isolated() {
+	if unanswered < min(isolationSYNs, len(sv.candidates)) || !r.options.Isolated(!sv.preview) {
 		return nil
 	}
 	return sv.evacuatedHome
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,8 +44,8 @@
 	Hosts func() int
 	// Isolated reports whether the host has lost contact with the store. It is asked while
 	// no other domain answers: new flows may then go to evacuated endpoints of the host's
-	// own domain. Nil means never.
-	Isolated func() bool
+	// own domain. With probe, it may call the store to find out. Nil means never.
+	Isolated func(probe bool) bool
 	// Cold limits flows to cold endpoints. Without a function Hosts nothing is limited.
 	Cold coldstart.Rules
 	// RouteShares divides the room at congested endpoints among the routes of a service.
@@ -120,6 +120,8 @@
 	candidates []*balance.Endpoint
 	// slots is the number of the candidates' slots.
 	slots int
+	// preview is set in a copy by which Explain decides: it must not cause calls.
+	preview bool
 	// evacuated is the number of endpoints left out since their failure domain is
 	// evacuated.
 	evacuated int
--- a/internal/relayd/isolation.go
+++ b/internal/relayd/isolation.go
@@ -30,7 +30,7 @@
 	maxAge  time.Duration
 	// probe calls the store.
 	probe func(ctx context.Context) error
-	// askedAt is when isolated was last called, on the monotonic clock.
+	// askedAt is when isolated last asked for probes, on the monotonic clock.
 	askedAt atomic.Int64
 	// silent is set while the last probe, made because somebody asked, had no answer.
 	silent atomic.Bool
@@ -49,9 +49,12 @@
 	return i
 }
 
-// isolated reports whether the host has lost contact with the store, and asks for probes.
-func (i *isolation) isolated() bool {
-	i.askedAt.Store(int64(i.clock.Monotonic()))
+// isolated reports whether the host has lost contact with the store, and asks for probes
+// if it may.
+func (i *isolation) isolated(probe bool) bool {
+	if probe {
+		i.askedAt.Store(int64(i.clock.Monotonic()))
+	}
 	return i.silent.Load() || i.control.age() > i.maxAge
 }
 
--- a/internal/relayd/isolation_test.go
+++ b/internal/relayd/isolation_test.go
@@ -30,6 +30,7 @@
 		probes++
 		return result
 	}}
+	i.isolated(false)
 	i.check(t.Context())
 	require.Zero(t, probes, "nobody asked")
 	for _, p := range []struct {
@@ -43,16 +44,16 @@
 		{syscall.ECONNRESET, false},
 	} {
 		result = p.err
-		i.isolated()
+		i.isolated(true)
 		i.check(t.Context())
-		require.Equal(t, p.want, i.isolated(), p.err)
+		require.Equal(t, p.want, i.isolated(true), p.err)
 	}
 	i.silent.Store(true)
 	i.askedAt.Store(0)
 	i.check(t.Context())
 	require.False(t, i.silent.Load(), "an old result does not count")
 	i.maxAge = -time.Hour
-	require.True(t, i.isolated(), "the state is too old")
+	require.True(t, i.isolated(true), "the state is too old")
 }
 
 // TestProbeOfSilentStore: the error of a call that a silent store never answers must count
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -109,7 +109,7 @@
 		idleWait:   maxIdleWait,
 		tasks:      make(chan func(), 1),
 	}
-	var isolated func() bool
+	var isolated func(probe bool) bool
 	if d.settings.Placement.EvacuatedWhenIsolated {
 		d.isolation = newIsolation(d.control, d.clock, d.store, d.timings)
 		isolated = d.isolation.isolated
