--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -66,8 +66,8 @@
 	InFlight int
 	Held     int
 	Limit    float64
-	// Candidates are endpoints of the service in the order of preference, those that
-	// take no new flows last. CandidateCount counts all of them.
+	// Candidates are endpoints of the service in the order of preference, then those that
+	// spillover leaves out for this flow, then those that take none. CandidateCount counts all of them.
 	Candidates     []Candidate
 	CandidateCount int
 }
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -186,6 +186,34 @@
 	require.Empty(t, r.relay.Explain(r.now, flowOf(1), 0).Candidates)
 }
 
+// TestExplainNamesReasonsOfFeatures guards against an endpoint without a reason that is
+// left out by the limit on cold endpoints, by spillover, or since the host is isolated.
+func TestExplainNamesReasonsOfFeatures(t *testing.T) {
+	reasons := func(r *harness, id string) []Reason {
+		for _, c := range r.explain(1).Candidates {
+			if c.ID == id {
+				return c.Reasons
+			}
+		}
+		return nil
+	}
+	r := limitedHarness(t, 1, "other")
+	r.report("i-2", 1, coldFor)
+	require.Equal(t, []Reason{ReasonColdLimit, ReasonCold}, reasons(r, "i-2"))
+
+	r = newSpilloverHarness(t, 1, 1)
+	require.Equal(t, []Reason{ReasonOtherDomain, ReasonSpillover}, reasons(r, "e-1"))
+	require.Empty(t, reasons(r, "i-1"))
+
+	r = twoDomains(t)
+	r.relay.options.Isolated = func(bool) bool { return true }
+	r.evacuate("d")
+	r.syn(1, 0)
+	r.advance(time.Second)
+	require.Equal(t, ReasonUnreachable, reasons(r, "i-far")[0])
+	require.Equal(t, []Reason{ReasonEvacuated}, reasons(r, "i-1")[:1])
+}
+
 // TestExplainOfAnExistingFlow guards against an explanation that promises a new endpoint
 // to a flow whose packets follow the one that it has.
 func TestExplainOfAnExistingFlow(t *testing.T) {
