relay: Do not reset a flow that may have opened before an evacuation

Cause: a copy of a SYN whose first one went to a domain that was evacuated since was placed like a new flow, and reset if no endpoint was left. The endpoint may have accepted the first SYN; the failover of such a flow is dropped for that reason. Change: the copy is dropped as well. Result: TestSYNCopyIsNotResetAfterEvacuation.

--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -149,3 +149,22 @@
 	require.NotEmpty(t, sent)
 	require.Equal(t, placed+1, r.relay.Stats().Placed)
 }
+
+// TestSYNCopyIsNotResetAfterEvacuation guards against a reset of a flow that may have
+// opened: its first SYN went to a domain that was evacuated since, and the copy has no
+// endpoint to go to.
+func TestSYNCopyIsNotResetAfterEvacuation(t *testing.T) {
+	r := twoDomains(t)
+	r.syn(1, 0)
+	r.evacuate("far")
+	r.evacuate("d")
+	r.drain()
+	r.now += 10 * ms
+	r.syn(1, 1)
+	sent, events := r.drain()
+	require.Empty(t, sent)
+	require.Equal(t, []string{"dropped evacuated"}, events)
+	r.ack(1, "i-1", 5001, 10)
+	sent, _ = r.drain()
+	require.Equal(t, []string{"i-1"}, sent, "it had opened")
+}
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -53,6 +53,10 @@
 	if rerouted {
 		// It was placed under an older configuration, or in a domain that was evacuated
 		// since, and has no handshake ACK.
+		if r.leftDomain(now, f) && len(r.candidates(now, r.serviceFor(route, s.Flow.Hash()))) == 0 {
+			r.drop(now, f.key, DropEvacuated)
+			return
+		}
 		r.removeFlow(f)
 		r.place(now, route, s, frame)
 		return
