--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -93,7 +93,7 @@
 func TestIsolatedDomainServesItself(t *testing.T) {
 	isolated := false
 	r := twoDomains(t)
-	r.relay.options.Isolated = func() bool { return isolated }
+	r.relay.options.Isolated = func(bool) bool { return isolated }
 	r.evacuate("d")
 	unanswered := func(port uint16) {
 		r.syn(port, 0)
@@ -130,7 +130,7 @@
 func TestCopiesStayInAnIsolatedDomain(t *testing.T) {
 	r := twoDomains(t)
 	r.addEndpoint("i-2", "s")
-	r.relay.options.Isolated = func() bool { return true }
+	r.relay.options.Isolated = func(bool) bool { return true }
 	r.evacuate("d")
 	r.syn(1, 0)
 	r.advance(2 * time.Second)
@@ -149,3 +149,22 @@
 	require.NotEmpty(t, sent)
 	require.Equal(t, placed+1, r.relay.Stats().Placed)
 }
+
+// TestSYNCopyIsNotResetAfterEvacuation guards against a reset of a flow that may have
+// opened: its first SYN went to a domain that was evacuated since, and the copy has no
+// endpoint to go to.
+func TestSYNCopyIsNotResetAfterEvacuation(t *testing.T) {
+	r := twoDomains(t)
+	r.syn(1, 0)
+	r.evacuate("far")
+	r.evacuate("d")
+	r.drain()
+	r.now += 10 * ms
+	r.syn(1, 1)
+	sent, events := r.drain()
+	require.Empty(t, sent)
+	require.Equal(t, []string{"dropped evacuated"}, events)
+	r.ack(1, "i-1", 5001, 10)
+	sent, _ = r.drain()
+	require.Equal(t, []string{"i-1"}, sent, "it had opened")
+}
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -69,8 +69,8 @@
 	InFlight int
 	Held     int
 	Limit    float64
-	// Candidates are endpoints of the service in the order of preference, those that
-	// take no new flows last. CandidateCount counts all of them.
+	// Candidates are endpoints of the service in the order of preference, then those that
+	// spillover leaves out for this flow, then those that take none. CandidateCount counts all of them.
 	Candidates     []Candidate
 	CandidateCount int
 }
@@ -126,6 +126,7 @@
 	// The decision is made on a copy of the service, with its window, and on a flow that
 	// is not in the table, so that what it records is discarded.
 	trial := *sv
+	trial.preview = true
 	trial.spill = sv.spill.clone()
 	added := &flow{
 		key: key, service: &trial, startedAt: now,
