relay: Detection of unreachable failure domains

Cause: when a domain loses power, flows open to its endpoints that hosts of other domains have taken over wait until their deadlines: each endpoint has too few packets at one host to be considered dead. Change: a host counts unanswered packets of a domain's endpoints together. Requests that wait there and may be repeated are reset, and new flows avoid the domain except for trials.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -52,6 +52,8 @@
 // Endpoint is one host's observations of an endpoint.
 type Endpoint struct {
 	Entry *catalog.Entry
+	// Domain is the endpoint's failure domain; nil if it is not observed.
+	Domain *Domain
 	// Open counts the flows at the endpoint, Busy those that wait for an answer.
 	Open int
 	Busy int
@@ -264,7 +266,8 @@
 // all hosts. A suspect endpoint is chosen only if it is cheaper than the others
 // by more than suspectPenalty, or if there is no other; one whose suspicion has
 // expired is chosen first, as a trial, as often as trials have succeeded of late; see
-// trouble. Choose is designed for many short
+// trouble. An endpoint of an unreachable domain is chosen as a trial, or if there is no
+// other. Choose is designed for many short
 // requests to endpoints with few slots, some of which are queueing while others
 // are free, cold, slow, failing part of their requests, or dead without notice.
 // The choice has no Endpoint if there is no candidate or all were tried.
@@ -272,6 +275,7 @@
 	best := Preview(r, s, candidates)
 	if best.Trial {
 		best.Endpoint.probing = true
+		best.Endpoint.Domain.chosenForTrial(r.Now)
 	}
 	s.trouble.chosen(best.Trial, len(r.Tried) > 0)
 	return best
--- a/internal/balance/ranking.go
+++ b/internal/balance/ranking.go
@@ -26,6 +26,9 @@
 	// no flow may test it now; Trial is set if the flow may test it.
 	Suspect bool
 	Trial   bool
+	// Unreachable is set if the endpoint's failure domain is considered unreachable, and
+	// the flow may not test it.
+	Unreachable bool
 	// hash breaks ties.
 	hash uint64
 }
@@ -34,7 +37,11 @@
 func rank(e *Endpoint, r *Request, s *Service, mayTry bool) Rank {
 	k := Rank{Endpoint: e, hash: rendezvousHash(r.Hash, uint64(e.Entry.Token()))}
 	k.Suspect = e.Suspect(r.Now) || e.unansweredSYNs > 0 && !mayTry
-	k.Trial = e.unansweredSYNs > 0 && !k.Suspect
+	if e.Domain.Unreachable() {
+		k.Unreachable = k.Suspect || !mayTry || len(r.Tried) > 0 || e.Domain.Avoided(r.Now)
+		k.Suspect = k.Unreachable
+	}
+	k.Trial = (e.unansweredSYNs > 0 || e.Domain.Unreachable()) && !k.Suspect
 	k.Expected = e.Expected(r.Now, s)
 	k.InProgress = time.Duration(busySlotCost * float64(s.UsualAnswerTime()) * float64(e.Busy))
 	if e.Entry.Domain != r.Domain {
@@ -51,8 +58,12 @@
 }
 
 // preferredTo reports whether k is preferred to the other rank, if both are suspect or
-// neither is: trials first, then the lower cost, then the lower rendezvous hash.
+// neither is: those of unreachable domains last, trials first, then the lower cost, then
+// the lower rendezvous hash.
 func (k *Rank) preferredTo(other *Rank) bool {
+	if k.Unreachable != other.Unreachable {
+		return other.Unreachable
+	}
 	if k.Trial != other.Trial {
 		// An endpoint whose suspicion has expired gets the next flow: without a
 		// flow, its suspicion could never be cleared.
@@ -70,7 +81,7 @@
 	if k.Endpoint == nil || best.Endpoint == nil {
 		return best.Endpoint == nil
 	}
-	return k.Cost+suspectPenalty < best.Cost
+	return !k.Unreachable && k.Cost+suspectPenalty < best.Cost
 }
 
 // Ranking returns the ranks of all endpoints in the order in which Choose would pick
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -186,7 +186,7 @@
 		x.decide(OutcomePlaced, CauseTrial)
 	case f.service.departed(DepartSpillover) > left:
 		x.decide(OutcomePlaced, CauseSpillover)
-	case c.Endpoint.UnansweredSYNs() > 0:
+	case c.Endpoint.UnansweredSYNs() > 0, c.Endpoint.Domain.Unreachable():
 		x.decide(OutcomePlaced, CauseSuspect)
 	default:
 		x.decide(OutcomePlaced, CauseLowestCost)
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -69,6 +69,10 @@
 	// number after its data.
 	acknowledged uint32
 	dataEnd      uint32
+	// dataAt is when the caller's last packet with data was received, network duplicates
+	// aside; repeated is set if the caller had sent the data before.
+	dataAt   time.Duration
+	repeated bool
 	// answerFrom is the sequence number at which the last request's answer
 	// begins, valid if answerFromKnown is set.
 	answerFrom      uint32
@@ -111,6 +115,8 @@
 	// takenOver is set if the flow was added by a packet after its SYN: another host
 	// forwarded the SYN, or this host has removed the flow since.
 	takenOver bool
+	// contested is set once a packet named another endpoint than the flow's.
+	contested bool
 	// resetSent is set once the host has reset the flow.
 	resetSent bool
 
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -70,11 +70,15 @@
 	// RejectCold: all endpoints that are left are cold, and this host may not send the flow
 	// to any of them.
 	RejectCold
+	// RejectUnreachableDomain: the failure domain of the flow's endpoint is unreachable, and
+	// the request may be repeated.
+	RejectUnreachableDomain
 	rejections
 )
 
 var rejectionNames = [rejections]string{
 	"no_route", "no_endpoint", "overload", "dead_endpoint", "route_removed", "cold",
+	"unreachable_domain",
 }
 
 // String returns the reason's name in logs and metrics.
@@ -171,6 +175,8 @@
 	// PresumedCold the times that one counted as cold since it did not answer SYNs.
 	PlacedCold   int64
 	PresumedCold int64
+	// DomainsLost counts the times that a failure domain became unreachable.
+	DomainsLost int64
 	// TakenOver counts flows added by a packet after their SYN.
 	TakenOver int64
 	// Contested counts packets that name another endpoint than their flow's.
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -41,9 +41,13 @@
 		f.detach()
 		f.attach(named)
 	}
+	repeated := f.repeatsData(s)
 	progress := r.progress(now, f, s)
-	if s.DataBytes > 0 && r.resetIfUseless(now, f, progress) {
-		return
+	if s.DataBytes > 0 {
+		r.recordData(now, f, repeated && !progress)
+		if r.resetIfUseless(now, f, progress) {
+			return
+		}
 	}
 	r.forward(f.endpoint.Entry, frame)
 	if s.Fin || s.Reset {
@@ -54,10 +58,19 @@
 // recordLateAcceptance handles a token of an endpoint that does not hold the
 // flow: that endpoint accepted the SYN too late, so it is alive.
 func (r *Relay) recordLateAcceptance(now time.Duration, s segment.Segment) {
-	if late := r.endpoints[s.Token]; late != nil && late.RecordAlive(now) {
+	late, f := r.endpoints[s.Token], r.flows[s.Flow]
+	if late == nil {
+		return
+	}
+	if !f.contested {
+		// The flow's later packets name the endpoint as well, whether it is alive or not.
+		f.contested = true
+		r.recordDomainAlive(now, late, f)
+	}
+	if late.RecordAlive(now) {
 		r.service(late.Entry.Service).observed.RecordRecovery()
 		r.options.Observer.Recovered(now, late)
-		r.endSilence(now, r.service(late.Entry.Service), late, r.flows[s.Flow])
+		r.endSilence(now, r.service(late.Entry.Service), late, f)
 	}
 }
 
@@ -131,6 +144,7 @@
 		f.recordSpillHandshake(took)
 	}
 	r.recordAlive(now, f)
+	f.endpoint.Domain.RecordReached(f.sentTo(f.endpoint))
 	r.recordFailovers(now, f)
 }
 
@@ -148,12 +162,16 @@
 		if e != f.endpoint && e.RecordFailover(f.triedAt[i]) {
 			r.resetWaitingFlows(now, e)
 		}
+		if e != f.endpoint {
+			r.recordDomainUnanswered(now, e, f.triedAt[i])
+		}
 	}
 }
 
 // recordAlive notes that the flow's endpoint has shown that it is alive.
 func (r *Relay) recordAlive(now time.Duration, f *flow) {
 	f.progressAt = now
+	r.recordDomainAlive(now, f.endpoint, f)
 	if f.endpoint.RecordAlive(now) {
 		f.service.observed.RecordRecovery()
 		r.options.Observer.Recovered(now, f.endpoint)
@@ -197,6 +215,7 @@
 		f.startUnknown = false
 		return
 	}
+	f.endpoint.Domain.RecordReached(f.requestAt)
 	if !r.lagging {
 		f.endpoint.RecordAnswer(now, took, &f.service.observed)
 		f.answerTime = took
@@ -255,14 +274,20 @@
 }
 
 // resetIfUseless resets a flow, on a packet with data, if its endpoint is
-// considered dead or its route was removed, and reports whether it did. Packets
+// considered dead, its failure domain unreachable, or its route was removed, and reports whether it did. Packets
 // without data are still forwarded on a removed route, so that answers in progress
 // are completed.
 func (r *Relay) resetIfUseless(now time.Duration, f *flow, progress bool) bool {
 	switch {
+	case f.state == stateEnded:
+		// Its data, sent again, has shown that its failure domain is unreachable.
+		return true
 	case !progress && !r.options.Disabled.DeathDetection && f.endpoint.DeadSince(f.progressAt):
 		r.resetDeadFlow(now, f)
 		return true
+	case !progress && r.isUnreachable(now, f):
+		r.resetFlow(now, f, RejectUnreachableDomain)
+		return true
 	case r.view.Route(f.key.Destination) == nil:
 		r.resetFlow(now, f, RejectRouteRemoved)
 		return true
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -21,8 +21,11 @@
 	ReasonUnknownService Reason = "unknown_service"
 	// ReasonSuspect: SYNs to it were unanswered, and no flow may test it now.
 	ReasonSuspect Reason = "suspect"
-	// ReasonTrial: SYNs to it were unanswered, and one flow may test it.
+	// ReasonTrial: SYNs to it were unanswered, or its failure domain is unreachable, and one
+	// flow may test it.
 	ReasonTrial Reason = "trial"
+	// ReasonUnreachable: its failure domain is unreachable from this host.
+	ReasonUnreachable Reason = "unreachable_domain"
 	// ReasonCold: it has just started, or its failure domain's evacuation has ended.
 	ReasonCold Reason = "cold"
 	// ReasonColdLimit: it is cold, and this host may send it no flow now: another host
@@ -62,6 +65,9 @@
 	}},
 	{ReasonSuspect, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Suspect }},
 	{ReasonTrial, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Trial }},
+	{ReasonUnreachable, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool {
+		return k.Endpoint.Domain.Unreachable()
+	}},
 	{ReasonCold, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
 		return now < k.Endpoint.Entry.WarmAt || r.coldState(now, sv, k.Endpoint) != nil
 	}},
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,6 +59,9 @@
 	// SpilloverChanged is called when the share of a service leaves 0 and when it is 0
 	// again; it may be nil and must not block.
 	SpilloverChanged func(now time.Duration, s SpilloverState)
+	// DomainChanged is called when a failure domain becomes unreachable, and when it is
+	// reachable again; it may be nil and must not block.
+	DomainChanged func(now time.Duration, s DomainState)
 	// Disabled turns features off, so that tests can show their effect.
 	Disabled Features
 }
@@ -67,7 +70,8 @@
 type Features struct {
 	// Failover sends SYNs without a handshake ACK to other endpoints.
 	Failover bool
-	// DeathDetection resets flows of endpoints that are considered dead.
+	// DeathDetection resets flows of endpoints that are considered dead, and of
+	// unreachable failure domains.
 	DeathDetection bool
 	// Pinning keeps an open flow at its endpoint, whichever token later packets
 	// carry.
@@ -89,7 +93,11 @@
 	view      *catalog.View
 	endpoints map[catalog.Token]*balance.Endpoint
 	services  map[string]*service
-	history   history
+	// domains holds the failure domains of the endpoints by name. None is considered
+	// unreachable before domainsFrom.
+	domains     map[string]*domain
+	domainsFrom time.Duration
+	history     history
 	// sizes holds the usual sizes of answers by route address; entries of removed
 	// routes are deleted.
 	sizes map[catalog.Address]*balance.AnswerSizes
@@ -151,6 +159,8 @@
 		started:          now,
 		endpoints:        make(map[catalog.Token]*balance.Endpoint),
 		services:         make(map[string]*service),
+		domains:          make(map[string]*domain),
+		domainsFrom:      now + domainObservation,
 		history:          newHistory(now, o.FlowLifetime),
 		sizes:            make(map[catalog.Address]*balance.AnswerSizes),
 		routeCounts:      make(map[string]*RouteCounts),
@@ -163,7 +173,7 @@
 func (r *Relay) SetView(now time.Duration, v *catalog.View) {
 	r.view = v
 	r.history.update(now, v)
-	r.updateEndpoints(v)
+	r.updateEndpoints(now, v)
 	r.updateServices(v)
 	r.updateCold(now, v)
 	for route := range r.sizes {
@@ -175,23 +185,27 @@
 
 // updateEndpoints adds the view's new endpoints and deletes those that have left
 // it and hold no flows.
-func (r *Relay) updateEndpoints(v *catalog.View) {
+func (r *Relay) updateEndpoints(now time.Duration, v *catalog.View) {
 	for _, entry := range v.Entries() {
 		token := entry.Token()
 		known := r.endpoints[token]
 		if known == nil {
-			r.endpoints[token] = &balance.Endpoint{Entry: entry}
+			known = &balance.Endpoint{Entry: entry}
+			r.endpoints[token] = known
+			r.joinDomain(known)
 			continue
 		}
 		if entry.StartedUnixMs != known.Entry.StartedUnixMs || entry.ID != known.Entry.ID {
 			// Another process: earlier observations do not apply to it.
 			known.Reset()
+			r.recordDomainAlive(now, known, nil)
 		}
-		known.Entry = entry
+		r.setEntry(known, entry)
 	}
 	for token, e := range r.endpoints {
 		if v.ByToken(token) == nil && e.Open == 0 {
 			delete(r.endpoints, token)
+			r.leaveDomain(e)
 		}
 	}
 }
@@ -274,6 +288,7 @@
 	}
 	r.handshakeTimeout = newHandshakeTimeout()
 	r.forgetSilence()
+	r.resetDomains(now)
 	for _, f := range r.flows {
 		switch f.state {
 		case stateOpening:
--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -149,20 +149,21 @@
 	switch {
 	case len(p.home) == 0:
 		return sv.candidates, DepartNoHome
-	case leaves && mostlyAnswer(p.remote):
+	case leaves && mostlyAnswer(now, p.remote):
 		return p.remote, DepartSpillover
-	case mostlyAnswer(p.home):
+	case mostlyAnswer(now, p.home):
 		return p.home, stays
 	}
 	return sv.candidates, DepartSuspect
 }
 
-// mostlyAnswer reports whether at least half of the endpoints have no unanswered SYN.
+// mostlyAnswer reports whether at least half of the endpoints have no unanswered SYN and
+// are not avoided with their failure domain.
 // While more of them do, the rest would be overloaded by all flows.
-func mostlyAnswer(list []*balance.Endpoint) bool {
+func mostlyAnswer(now time.Duration, list []*balance.Endpoint) bool {
 	answering := 0
 	for _, e := range list {
-		if e.UnansweredSYNs() == 0 {
+		if e.UnansweredSYNs() == 0 && !e.Domain.Avoided(now) {
 			answering++
 		}
 	}
