relay: Slow answers and lost copies are no evidence of a lost domain

Cause: endpoints acknowledge a single packet only with its answer, and a copy of it at once, so a first copy of data shows no more than a slow answer. Change: only data that was repeated again, 300 ms or more after the copy before, counts, and not while most callers of the domain stopped repeating theirs.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -27,6 +27,8 @@
 	EndpointPresumedCold
 	SpilloverStarted
 	SpilloverEnded
+	DomainUnreachable
+	DomainReachable
 )
 
 var relayArea = Area{
@@ -34,7 +36,7 @@
 	Definitions: []Definition{
 		{FlowPlaced, slog.LevelInfo, "flow placed", "None."},
 		{FlowFailedOver, slog.LevelWarn, "no handshake ACK for a SYN; failed over to another endpoint", "See event 8007 of the endpoint that did not respond."},
-		{FlowRejected, slog.LevelWarn, "flow reset", "See the reason: no_route, no_endpoint, overload, dead_endpoint, route_removed or cold."},
+		{FlowRejected, slog.LevelWarn, "flow reset", "See the reason: no_route, no_endpoint, overload, dead_endpoint, route_removed, cold or unreachable_domain."},
 		{FlowClosed, slog.LevelInfo, "flow ended", "None; answered=false means that the caller got no answer from the endpoint."},
 		{FlowTakenOver, slog.LevelInfo, "flow of another host taken over", "None; the routers sent the caller to this host."},
 		{FlowContested, slog.LevelInfo, "packet names an endpoint other than the flow's", "None after event 8001 of the same flow; otherwise check what sends them."},
@@ -55,6 +57,8 @@
 		{EndpointPresumedCold, slog.LevelInfo, "endpoint may have restarted; counts as cold", "None after a restart; otherwise SYNs are lost, see event 8001 of the same endpoint."},
 		{SpilloverStarted, slog.LevelInfo, "some new flows leave the failure domain, whose endpoints answer later than others", "None for some seconds; if it lasts, the domain has too few endpoints for its callers."},
 		{SpilloverEnded, slog.LevelInfo, "new flows stay in the failure domain again", "None."},
+		{DomainUnreachable, slog.LevelWarn, "failure domain unreachable from this host", "Check the domain's power and the network to it; requests that may be repeated are reset, and new flows avoid it."},
+		{DomainReachable, slog.LevelInfo, "failure domain no longer considered unreachable", "None."},
 	},
 }
 
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -70,9 +70,9 @@
 	acknowledged uint32
 	dataEnd      uint32
 	// dataAt is when the caller's last packet with data was received, network duplicates
-	// aside; repeated is set if the caller had sent the data before.
-	dataAt   time.Duration
-	repeated bool
+	// aside. If it repeated data, repeatGap is the time since the packet before.
+	dataAt    time.Duration
+	repeatGap time.Duration
 	// answerFrom is the sequence number at which the last request's answer
 	// begins, valid if answerFromKnown is set.
 	answerFrom      uint32
--- a/internal/relay/unreachable.go
+++ b/internal/relay/unreachable.go
@@ -13,9 +13,14 @@
 	// unreachable, from its start and from the end of a time in which it lagged or was
 	// paused.
 	domainObservation = time.Second
-	// repeatedAfter is the time after which a caller has repeated data that was not
-	// acknowledged: callers do so for the first time after 200 ms.
-	repeatedAfter = 250 * time.Millisecond
+	// firstRepeat is the time after which a caller repeats data that was not acknowledged;
+	// the time doubles with each further copy. repeatMargin allows for delays.
+	firstRepeat  = 200 * time.Millisecond
+	repeatMargin = 50 * time.Millisecond
+	// minRepeatGap tells the second and later copies from the first one. Endpoints
+	// acknowledge a copy at once, but a single packet only with its answer, so that a first
+	// copy shows no more than that the answer takes longer than firstRepeat.
+	minRepeatGap = 300 * time.Millisecond
 	// domainResetInterval is the least time between searches of the flow table for flows
 	// of one unreachable domain.
 	domainResetInterval = 50 * time.Millisecond
@@ -122,12 +127,13 @@
 	if repeated && now-sent < duplicateWindow {
 		return
 	}
-	f.dataAt = now
-	if repeated && f.waiting {
-		f.repeated = true
+	f.dataAt, f.repeatGap = now, 0
+	if !repeated {
+		return
+	}
+	f.repeatGap = now - sent
+	if f.waiting && f.repeatGap >= minRepeatGap {
 		r.recordDomainUnanswered(now, f.endpoint, sent)
-	} else {
-		f.repeated = false
 	}
 }
 
@@ -175,26 +181,26 @@
 	return false
 }
 
-// acknowledges reports whether most requests sent to the failure domain since the evidence
-// began were not repeated by their callers: its endpoints take long to answer, but
-// acknowledge data, which hosts don't see.
+// acknowledges reports whether most packets of waiting requests, sent to the failure domain
+// since the evidence began, were not repeated by their callers in time: its endpoints take
+// long to answer, but acknowledge data, which hosts don't see.
 func (r *Relay) acknowledges(now time.Duration, d *domain) bool {
 	first, _ := d.Since()
-	repeated, acknowledged := 0, 0
+	unanswered, acknowledged := 0, 0
 	for _, f := range r.flows {
-		if f.state != stateOpen || !f.waiting || f.startUnknown || f.endpoint.Domain != &d.Domain {
-			continue
-		}
-		if f.requestAt < first || now < f.requestAt+repeatedAfter || f.dataAt < f.requestAt {
+		if f.state != stateOpen || !f.waiting || f.endpoint.Domain != &d.Domain || f.dataAt < first {
 			continue
 		}
-		if f.repeated {
-			repeated++
-		} else {
+		switch {
+		case f.startUnknown && f.repeatGap == 0:
+			// The packet may have been a later copy, so that the next one takes longer.
+		case now >= f.dataAt+max(firstRepeat, 2*f.repeatGap)+repeatMargin:
 			acknowledged++
+		case f.repeatGap >= minRepeatGap:
+			unanswered++
 		}
 	}
-	return acknowledged > repeated
+	return acknowledged > unanswered
 }
 
 // silenceDomain notes that the endpoints of a failure domain may have restarted when they
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -74,6 +74,7 @@
 	set("flows_sent_on", s.FailedOver)
 	set("flows_to_cold_endpoints", s.PlacedCold)
 	set("endpoints_presumed_cold", s.PresumedCold)
+	set("domains_unreachable_times", s.DomainsLost)
 	set("flows_adopted", s.TakenOver)
 	set("flows_evicted", s.Evicted)
 	set("first_packets_repeated", s.RetransmittedSYNs)
@@ -95,6 +96,11 @@
 	metrics.GetOrRegisterGauge("endpoints_cold_owned", registry).Update(owned)
 }
 
+// updateDomainGauges publishes how many failure domains are considered unreachable.
+func updateDomainGauges(registry metrics.Registry, r *relay.Relay) {
+	metrics.GetOrRegisterGauge("domains_unreachable", registry).Update(r.UnreachableDomains())
+}
+
 // updateRouteGauges publishes the counts of held flows by route.
 func updateRouteGauges(registry metrics.Registry, routes []relay.RouteCounts) {
 	for _, c := range routes {
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -220,6 +220,19 @@
 		slog.Duration("remote_age", s.RemoteAge), slog.String("closed", strings.Join(s.Closed, " ")))
 }
 
+// domainChanged reports that a failure domain is considered unreachable, or no longer is.
+func (o *observer) domainChanged(now time.Duration, s relay.DomainState) {
+	if !o.allows(now, o.noteworthy) {
+		return
+	}
+	if !s.Unreachable {
+		event.Log(o.logger, event.DomainReachable, slog.String("domain", s.Domain))
+		return
+	}
+	event.Log(o.logger, event.DomainUnreachable, slog.String("domain", s.Domain), slog.Duration("since", s.Since),
+		slog.Int("endpoints", s.Endpoints), slog.Int("reset", s.Reset))
+}
+
 // lagging reports that the host has begun or ceased to lag.
 func (o *observer) lagging(now time.Duration, lagging bool, waited time.Duration) {
 	if !o.allows(now, o.noteworthy) {
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -133,6 +133,7 @@
 		Spillover:   d.settings.Placement.Spillover,
 
 		SpilloverChanged: d.traffic.observer.spilloverChanged,
+		DomainChanged:    d.traffic.observer.domainChanged,
 	}, d.clock.Monotonic())
 	d.control.onPublish = d.traffic.wake
 	d.exchange = &exchange{host: d.settings.Name, clock: d.clock, traffic: d.traffic, aggregator: outlier.NewAggregator()}
@@ -162,6 +163,7 @@
 		stats := d.traffic.relay.Stats()
 		updateRelayGauges(d.registry, &stats)
 		updateColdGauges(d.registry, d.traffic.relay, d.clock.Monotonic())
+		updateDomainGauges(d.registry, d.traffic.relay)
 		updateRouteGauges(d.registry, d.traffic.relay.RouteCounts())
 		updateSpilloverGauges(d.registry, d.traffic.relay.Spillover(d.clock.Monotonic()))
 	})
