--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,6 +73,8 @@
 	// DeathDetection resets flows of endpoints that are considered dead, and of
 	// unreachable failure domains.
 	DeathDetection bool
+	// DomainDetection detects unreachable failure domains.
+	DomainDetection bool
 	// Pinning keeps an open flow at its endpoint, whichever token later packets
 	// carry.
 	Pinning bool
--- a/internal/relay/unreachable.go
+++ b/internal/relay/unreachable.go
@@ -143,7 +143,10 @@
 // and may be repeated are reset.
 func (r *Relay) recordDomainUnanswered(now time.Duration, e *balance.Endpoint, sent time.Duration) {
 	d := r.domains[e.Entry.Domain]
-	if d == nil || r.lagging || now < r.domainsFrom || r.options.Disabled.DeathDetection || d.Endpoints < balance.MinDomainEndpoints {
+	if r.lagging || now < r.domainsFrom || d == nil || d.Endpoints < balance.MinDomainEndpoints {
+		return
+	}
+	if r.options.Disabled.DeathDetection || r.options.Disabled.DomainDetection {
 		return
 	}
 	if !d.RecordUnanswered(now, sent, e) {
