--- a/internal/relay/unreachable_test.go
+++ b/internal/relay/unreachable_test.go
@@ -245,3 +245,20 @@
 	require.EqualValues(t, 1, r.resets())
 	require.EqualValues(t, 1, r.relay.UnreachableDomains())
 }
+
+// TestRepeatedDataAllocatesNothing guards the smallest hosts against garbage while all callers
+// of a lost domain repeat their data.
+func TestRepeatedDataAllocatesNothing(t *testing.T) {
+	r := newLossHarness(t, 8)
+	r.relay.options.Output, r.relay.options.Observer = discard{r.harness}, discard{r.harness}
+	r.directory.Configuration().Routes[0].Idempotent = false
+	r.publish()
+	r.copies(6, 3, r.answerElsewhere)
+	require.EqualValues(t, 1, r.relay.UnreachableDomains())
+	frame := make([]byte, 64)
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		r.now += 300 * ms
+		s := segment.Segment{Flow: flowOf(1), Token: catalog.TokenOf("p-1"), Sequence: 1001, Acknowledgement: 5001, Ack: true, DataBytes: 10}
+		r.relay.Packet(r.now, s, frame)
+	}))
+}
