--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -199,7 +199,7 @@
 		x.decide(OutcomePlaced, CauseSpillover)
 	case f.service.departed(DepartNoRoom) > noRoom:
 		x.decide(OutcomePlaced, CauseNoRoom)
-	case c.Endpoint.UnansweredSYNs() > 0:
+	case c.Endpoint.UnansweredSYNs() > 0, c.Endpoint.Domain.Unreachable():
 		x.decide(OutcomePlaced, CauseSuspect)
 	default:
 		x.decide(OutcomePlaced, CauseLowestCost)
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -130,7 +130,7 @@
 		}
 		require.NotEmpty(t, c.Reasons, "%s is left out without a reason", c.ID)
 		require.Subset(t, []Reason{
-			ReasonRemoved, ReasonDraining, ReasonEvacuated, ReasonUnknownService, ReasonUnreachable, ReasonColdLimit,
+			ReasonRemoved, ReasonDraining, ReasonEvacuated, ReasonUnknownService, ReasonIsolated, ReasonColdLimit,
 		}, c.Reasons[:1])
 	}
 }
@@ -210,7 +210,7 @@
 	r.evacuate("d")
 	r.syn(1, 0)
 	r.advance(time.Second)
-	require.Equal(t, ReasonUnreachable, reasons(r, "i-far")[0])
+	require.Equal(t, ReasonIsolated, reasons(r, "i-far")[0])
 	require.Equal(t, []Reason{ReasonEvacuated}, reasons(r, "i-1")[:1])
 }
 
--- a/internal/relay/overflow.go
+++ b/internal/relay/overflow.go
@@ -67,7 +67,7 @@
 	var best *overflow
 	most := 0.0
 	for _, o := range sv.spill.overflows {
-		if !o.limit.Room(now, o.inFlight) || sv.spill.controller.CutOff(now, o.domain) || !mostlyAnswer(o.endpoints) {
+		if !o.limit.Room(now, o.inFlight) || sv.spill.controller.CutOff(now, o.domain) || !mostlyAnswer(now, o.endpoints) {
 			continue
 		}
 		if room := o.limit.Limit(now) - float64(o.inFlight); best == nil || room > most {
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -19,16 +19,19 @@
 	ReasonEvacuated Reason = "evacuated"
 	// ReasonUnknownService: the configuration does not name its service.
 	ReasonUnknownService Reason = "unknown_service"
-	// ReasonUnreachable: no other domain answers, and the host, which has lost contact with
-	// the store, sends flows to evacuated endpoints of its own domain.
-	ReasonUnreachable Reason = "unreachable"
+	// ReasonIsolated: no other domain answers, and the host, which has lost contact with the
+	// store, sends flows to evacuated endpoints of its own domain.
+	ReasonIsolated Reason = "isolated"
 	// ReasonColdLimit: it is cold, and this host may send it no flow now: another host
 	// owns it, or its limit is reached.
 	ReasonColdLimit Reason = "cold_limit"
 	// ReasonSuspect: SYNs to it were unanswered, and no flow may test it now.
 	ReasonSuspect Reason = "suspect"
-	// ReasonTrial: SYNs to it were unanswered, and one flow may test it.
+	// ReasonTrial: SYNs to it were unanswered, or its failure domain is unreachable, and one
+	// flow may test it.
 	ReasonTrial Reason = "trial"
+	// ReasonUnreachable: its failure domain is unreachable from this host.
+	ReasonUnreachable Reason = "unreachable_domain"
 	// ReasonCold: it has just started, or its failure domain's evacuation has ended.
 	ReasonCold Reason = "cold"
 	// ReasonSlow: it takes longer to answer than its service usually does.
@@ -67,7 +70,7 @@
 		_, known := r.view.Configuration.Services[sv.name]
 		return !known
 	}},
-	{ReasonUnreachable, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
+	{ReasonIsolated, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
 		return !r.view.Evacuated(k.Endpoint.Entry.Domain) && len(r.allowed(now, sv, r.lastResort(now, sv))) > 0
 	}},
 	{ReasonColdLimit, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
@@ -76,6 +79,9 @@
 	}},
 	{ReasonSuspect, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Suspect }},
 	{ReasonTrial, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool { return k.Trial }},
+	{ReasonUnreachable, func(_ *Relay, _ time.Duration, _ *service, k *balance.Rank) bool {
+		return k.Endpoint.Domain.Unreachable()
+	}},
 	{ReasonCold, func(r *Relay, now time.Duration, sv *service, k *balance.Rank) bool {
 		return now < k.Endpoint.Entry.WarmAt || r.coldState(now, sv, k.Endpoint) != nil
 	}},
--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -195,23 +195,24 @@
 	switch {
 	case p.homeCount == 0:
 		return candidates, DepartNoHome
-	case leaves && mostlyAnswer(p.remote):
+	case leaves && mostlyAnswer(now, p.remote):
 		return p.remote, DepartSpillover
 	case 2*len(p.home) < p.homeCount:
 		// The rest would be overloaded by all flows.
 		return candidates, DepartCold
-	case mostlyAnswer(p.home):
+	case mostlyAnswer(now, p.home):
 		return p.home, stays
 	}
 	return candidates, DepartSuspect
 }
 
-// mostlyAnswer reports whether at least half of the endpoints have no unanswered SYN.
-// While more of them do, the rest would be overloaded by all flows.
-func mostlyAnswer(list []*balance.Endpoint) bool {
+// mostlyAnswer reports whether at least half of the endpoints have no unanswered SYN and
+// are not avoided with their failure domain. With fewer, the rest would be overloaded by
+// all flows.
+func mostlyAnswer(now time.Duration, list []*balance.Endpoint) bool {
 	answering := 0
 	for _, e := range list {
-		if e.UnansweredSYNs() == 0 {
+		if e.UnansweredSYNs() == 0 && !e.Domain.Avoided(now) {
 			answering++
 		}
 	}
