relay: Flows of few callers leave an unreachable home domain

Cause: with spillover, a flow is placed among the endpoints of the home domain while a trial is due, but may not be a trial while earlier ones failed: 13 of 20 flows went to the lost domain. Change: if the choice is an unreachable endpoint and no trial, all candidates are considered. Result: TestLostDomainIsAvoidedAndReturns (few flows) fails without and passes with it.

--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -112,6 +112,10 @@
 	}
 	preferred, reason := r.spillCandidates(now, sv, request.Hash)
 	choice := pick(request, &sv.observed, preferred)
+	if !choice.Trial && choice.Endpoint.Domain.Unreachable() {
+		reason = DepartSuspect
+		choice = pick(request, &sv.observed, candidates)
+	}
 	if reason == stays && !choice.Trial {
 		// A trial is not repeated: its endpoint waits for the result.
 		if reason = sv.homeDefect(now, choice.Endpoint); reason != stays {
--- a/internal/relay/unreachable_test.go
+++ b/internal/relay/unreachable_test.go
@@ -174,27 +174,37 @@
 // TestLostDomainIsAvoidedAndReturns guards against new flows that wait at a lost domain, and
 // against a domain that gets no flows after its return.
 func TestLostDomainIsAvoidedAndReturns(t *testing.T) {
+	for _, spillover := range []bool{false, true} {
+		// One of 8 flows tests the domain while trials fail, at most one each 200 ms.
+		t.Run(fmt.Sprint("spillover ", spillover), func(t *testing.T) { testLostDomain(t, spillover, 10*ms, 11) })
+		t.Run(fmt.Sprint("few flows, spillover ", spillover), func(t *testing.T) { testLostDomain(t, spillover, 100*ms, 6) })
+	}
+}
+
+func testLostDomain(t *testing.T, spillover bool, gap time.Duration, most int) {
 	r := newLossHarness(t, 8)
 	r.relay.options.Domain = "p"
+	if spillover {
+		r.relay.options.Spillover = true
+		r.relay.services["s"].spill = r.relay.newSpill()
+		r.publish()
+	}
 	r.copies(4, 3, r.answerElsewhere)
 	require.EqualValues(t, 1, r.relay.UnreachableDomains())
-	at := func(span time.Duration) (trials int) {
-		for end := r.now + span; r.now < end; r.advance(10 * ms) {
-			r.next++
-			r.syn(r.next, 0)
-			sent, _ := r.drain()
-			if sent[0] != "i-1" {
-				trials++
-				r.advance(30 * ms)
-			}
-			r.ack(r.next, "i-1", 5001, 10)
-			r.ack(r.next, "i-1", 6001, 0)
-			r.drain()
+	trials := 0
+	for end := r.now + 2*time.Second; r.now < end; r.advance(gap) {
+		r.next++
+		r.syn(r.next, 0)
+		sent, _ := r.drain()
+		if sent[0] != "i-1" {
+			trials++
+			r.advance(30 * ms)
 		}
-		return trials
+		r.ack(r.next, "i-1", 5001, 10)
+		r.ack(r.next, "i-1", 6001, 0)
+		r.drain()
 	}
-	trials := at(2 * time.Second)
-	require.LessOrEqual(t, trials, 11, "one each 200 ms, from the first flow on")
+	require.LessOrEqual(t, trials, most)
 	require.Greater(t, trials, 3)
 	x := r.relay.Explain(r.now, flowOf(9), 20)
 	require.Contains(t, x.Candidates[8].Reasons, ReasonUnreachable)
