--- a/internal/relay/spillover.go
+++ b/internal/relay/spillover.go
@@ -156,6 +156,9 @@
 func (r *Relay) preferred(now time.Duration, sv *service, request balance.Request, all []*balance.Endpoint) ([]*balance.Endpoint, Departure) {
 	candidates, reason := sv.spillCandidates(now, all, request.Hash)
 	best := balance.Preview(request, &sv.observed, candidates)
+	if !best.Trial && best.Endpoint.Domain.Unreachable() {
+		return all, DepartSuspect
+	}
 	if reason == stays && !best.Trial {
 		if reason = sv.homeDefect(now, best.Endpoint); reason != stays {
 			candidates = all
