balance: Count answers for failure reports from the first report on

Answers of eight hosts from before an endpoint began to fail outweighed its first failures. Change: a host reports only its answers since others report failures of the endpoint.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -76,6 +76,8 @@
 	// ownTally counts outcomes seen here, reportedTally those seen by other hosts.
 	ownTally      Tally
 	reportedTally Tally
+	// sinceReported counts the outcomes seen here since other hosts report failures.
+	sinceReported Tally
 	// notifiedFailing is what FailingChanged has reported last.
 	notifiedFailing bool
 }
@@ -192,7 +194,7 @@
 func (e *Endpoint) Reset() {
 	e.unansweredSYNs, e.failovers = 0, 0
 	e.probing = false
-	e.ownTally, e.reportedTally = Tally{}, Tally{}
+	e.ownTally, e.reportedTally, e.sinceReported = Tally{}, Tally{}, Tally{}
 	e.answerTime = decayingAverage{}
 }
 
--- a/internal/balance/tally.go
+++ b/internal/balance/tally.go
@@ -74,6 +74,12 @@
 func (e *Endpoint) RecordOutcome(now time.Duration, failed bool, s *Service) {
 	e.ownTally.add(now, failed)
 	e.ownTally.limit(maxTallyAnswers)
+	if e.reportedTally.Failed < minReportedFailures {
+		e.sinceReported = Tally{}
+	} else {
+		e.sinceReported.add(now, failed)
+		e.sinceReported.limit(maxTallyAnswers)
+	}
 	// The service's tally has no limit: the failures of all endpoints together
 	// must count for as long as those of each endpoint.
 	s.tally.add(now, failed)
@@ -124,12 +130,13 @@
 // failure report; ok is false if it has none, or other hosts report no failures. Without
 // the answers of hosts that saw no failure, the failures of few hosts would be compared
 // with the answers of these alone: with twenty hosts and heavy-tailed work, endpoints in
-// order would count as failing.
+// order would count as failing. Only answers since the first report count, since those
+// from before an endpoint began to fail would hide it for seconds.
 func (e *Endpoint) AnswerTally(now time.Duration, s *Service) (t Tally, ok bool) {
 	if e.reportedTally.Failed < minReportedFailures || s.tally.share() > maxServiceFailureShare {
 		return Tally{}, false
 	}
-	t = e.ownTally.At(now)
+	t = e.sinceReported.At(now)
 	return t, t.Answers > 0
 }
 
