platform: Keep the store's names and formats out of other packages' tests

Cause: tests of internal/follow and internal/feed spelled keys and entries of the store themselves (op/config, servers/, Zone), which only platform/ is to know.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -16,6 +16,7 @@
 	"toucangap/internal/feed/feedpb"
 	"toucangap/internal/follow"
 	"toucangap/platform"
+	"toucangap/platform/platformtest"
 )
 
 // fakeSource is a server's source with a fixed batch.
@@ -33,8 +34,8 @@
 		changed: make(chan struct{}),
 		batch: follow.Batch{Complete: true, Position: catalog.Position{Incarnation: 1, Revision: 7}, AsOf: asOf, Changes: []platform.Change{
 			{Item: platform.Item{Key: platform.SecretKey, Value: []byte("the hosts' secret"), Revision: 2, Incarnation: 1}},
-			{Item: platform.Item{Key: "servers/i-1", Value: []byte("v"), Revision: 3, Incarnation: 1}},
-			{Item: platform.Item{Key: "servers/i-2", Revision: 4, Incarnation: 1}, Removed: true},
+			{Item: platform.Item{Key: platformtest.EndpointKey("i-1"), Value: []byte("v"), Revision: 3, Incarnation: 1}},
+			{Item: platform.Item{Key: platformtest.EndpointKey("i-2"), Revision: 4, Incarnation: 1}, Removed: true},
 		}},
 	}
 }
--- a/internal/follow/evacuation_test.go
+++ b/internal/follow/evacuation_test.go
@@ -8,13 +8,14 @@
 
 	"toucangap/internal/catalog"
 	"toucangap/platform"
+	"toucangap/platform/platformtest"
 )
 
 // evacuated returns a replica with an endpoint of the evacuated domain d.
 func evacuated(value string) *Replica {
 	r := newTestReplica()
 	r.Apply(0, Batch{Complete: true, Position: at(4), Changes: []platform.Change{
-		configurationAt(2, 1), entryAt("i-1", 3, "ready"), put("op/evacuate/d", 4, value),
+		configurationAt(2, 1), entryAt("i-1", 3, "ready"), put(platformtest.EvacuationKey("d"), 4, value),
 	}})
 	return r
 }
@@ -22,7 +23,7 @@
 // TestEvacuationWithAnyValue: the request is the key; a value that can't be read must not
 // leave the domain in use.
 func TestEvacuationWithAnyValue(t *testing.T) {
-	for _, value := range []string{"{}", "", "\xff\x00", `{"Zone":"other"}`} {
+	for _, value := range []string{"{}", "", "\xff\x00", `{"domain":"other"}`} {
 		r := evacuated(value)
 		require.Empty(t, availableIDs(r.View(0)), value)
 		require.Equal(t, []string{"d"}, r.View(0).EvacuatedDomains())
@@ -36,7 +37,7 @@
 	peer.Apply(0, source.Since(0, peer.Progress()))
 	require.Empty(t, availableIDs(peer.View(0)))
 
-	source.Apply(time.Second, Batch{Position: at(5), Changes: []platform.Change{removal("op/evacuate/d", 5)}})
+	source.Apply(time.Second, Batch{Position: at(5), Changes: []platform.Change{removal(platformtest.EvacuationKey("d"), 5)}})
 	peer.Apply(time.Second, source.Since(time.Second, peer.Progress()))
 	require.Equal(t, []string{"i-1"}, availableIDs(peer.View(time.Second)))
 }
@@ -46,7 +47,7 @@
 func TestEvacuationOfUnknownDomain(t *testing.T) {
 	r := newTestReplica()
 	r.Apply(0, Batch{Complete: true, Position: at(4), Changes: []platform.Change{
-		configurationAt(2, 1), entryAt("i-1", 3, "ready"), put("op/evacuate/nowhere", 4, "{}"), put("op/evacuate/", 4, "{}"),
+		configurationAt(2, 1), entryAt("i-1", 3, "ready"), put(platformtest.EvacuationKey("nowhere"), 4, "{}"), put(platformtest.EvacuationKey(""), 4, "{}"),
 	}})
 	require.Equal(t, []string{"i-1"}, availableIDs(r.View(0)))
 }
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -13,6 +13,7 @@
 
 	"toucangap/internal/catalog"
 	"toucangap/platform"
+	"toucangap/platform/platformtest"
 )
 
 // fakeStore answers from a script. Its clock advances by the duration of each
@@ -126,15 +127,15 @@
 // and holds the configuration; a change of it meanwhile must not wait for the end of
 // the listing. The store's state counts as unknown until then.
 func TestStartingHostServesByTheFirstPage(t *testing.T) {
-	first := listOf(5, "op/config", "servers/a")
+	first := listOf(5, platformtest.ConfigurationKey, platformtest.EndpointKey("a"))
 	first.page.More = true
 	second := step{
-		want: `list "" after "servers/a"`, takes: time.Second,
-		page: platform.Page{Revision: 9, Incarnation: 1, More: true, Items: []platform.Item{{Key: "servers/b", Revision: 4}}},
+		want: `list "" after "` + platformtest.EndpointKey("a") + `"`, takes: time.Second,
+		page: platform.Page{Revision: 9, Incarnation: 1, More: true, Items: []platform.Item{{Key: platformtest.EndpointKey("b"), Revision: 4}}},
 	}
-	changed := []platform.Change{{Item: platform.Item{Key: "op/config", Revision: 7}}}
+	changed := []platform.Change{{Item: platform.Item{Key: platformtest.ConfigurationKey, Revision: 7}}}
 	meanwhile := step{want: "watch since 5 for 1ms", watch: platform.Changes{Revision: 8, Incarnation: 1, Changes: changed}}
-	last := step{want: `list "" after "servers/b"`, page: platform.Page{Revision: 9, Incarnation: 1, Items: []platform.Item{{Key: "servers/c", Revision: 4}}}}
+	last := step{want: `list "" after "` + platformtest.EndpointKey("b") + `"`, page: platform.Page{Revision: 9, Incarnation: 1, Items: []platform.Item{{Key: platformtest.EndpointKey("c"), Revision: 4}}}}
 	batches, _, _ := runScript(t, first, second, meanwhile, last)
 	require.Len(t, batches, 3)
 	for _, part := range batches[:2] {
--- a/internal/follow/registrations_test.go
+++ b/internal/follow/registrations_test.go
@@ -9,6 +9,7 @@
 
 	"toucangap/internal/coldstart"
 	"toucangap/platform"
+	"toucangap/platform/platformtest"
 )
 
 // TestRegistrationsForColdEndpoints guards against owners of cold endpoints that are chosen
@@ -28,7 +29,7 @@
 		return new(coldstart.Gate).Owner(time.Minute, &rules, "i", "d").Name
 	}
 	require.Equal(t, "unchanged", apply(configurationAt(1, 1), host("a", "d", 2)), "no limit")
-	limited := put("op/config", 3, `{"Version":2,"Services":[{"Name":"s","ColdStartS":2,"ColdPerS":4}]}`)
+	limited := put(platformtest.ConfigurationKey, 3, platformtest.LimitedConfiguration(2, 2, 4))
 	require.Equal(t, "a", apply(limited))
 	require.Equal(t, "unchanged", apply(entryAt("i", 4, "ready")))
 	require.Equal(t, "a", apply(host("b", "far", 5)))
--- a/internal/follow/replica_test.go
+++ b/internal/follow/replica_test.go
@@ -12,6 +12,7 @@
 
 	"toucangap/internal/catalog"
 	"toucangap/platform"
+	"toucangap/platform/platformtest"
 )
 
 const (
@@ -37,13 +38,11 @@
 }
 
 func configurationAt(revision, version uint64) platform.Change {
-	return put("op/config", revision, fmt.Sprintf(
-		`{"Version":%d,"Routes":[{"Name":"r","Hostname":"198.18.0.1","Prefix":"/443/","Service":"s"}],"Services":[{"Name":"s"}]}`, version))
+	return put(platformtest.ConfigurationKey, revision, platformtest.Configuration(version))
 }
 
 func entryAt(id string, revision uint64, state string) platform.Change {
-	return put("servers/"+id, revision, fmt.Sprintf(
-		`{"Service":"s","Address":"10.0.0.1:80","Zone":"d","Version":"v1","Slots":2,"State":%q,"ColdRemainingMs":0,"Sequence":1}`, state))
+	return put(platformtest.EndpointKey(id), revision, platformtest.EntryWithoutStart(state, 1))
 }
 
 func availableIDs(v *catalog.View) []string {
@@ -57,10 +56,10 @@
 func TestUnreadableEntryHidesNoOther(t *testing.T) {
 	r := newTestReplica()
 	r.Apply(0, Batch{Position: at(5), Changes: []platform.Change{
-		configurationAt(2, 1), entryAt("i-1", 3, "ready"), put("servers/i-2", 4, "\xff"), entryAt("i-3", 5, "ready"),
+		configurationAt(2, 1), entryAt("i-1", 3, "ready"), put(platformtest.EndpointKey("i-2"), 4, "\xff"), entryAt("i-3", 5, "ready"),
 	}})
 	require.Equal(t, []string{"i-1", "i-3"}, availableIDs(r.View(0)))
-	r.Apply(0, Batch{Position: at(6), Changes: []platform.Change{put("servers/i-1", 6, "{}")}})
+	r.Apply(0, Batch{Position: at(6), Changes: []platform.Change{put(platformtest.EndpointKey("i-1"), 6, "{}")}})
 	require.Equal(t, []string{"i-3"}, availableIDs(r.View(0)), "an endpoint with an unreadable entry gets no new flows")
 	require.NotNil(t, r.View(0).ByToken(catalog.TokenOf("i-1")), "its existing flows are still forwarded")
 }
@@ -68,8 +67,8 @@
 func TestUnreadableConfigurationKeepsThePrevious(t *testing.T) {
 	r := newTestReplica()
 	r.Apply(0, Batch{Position: at(2), Changes: []platform.Change{configurationAt(2, 7)}})
-	require.False(t, r.Apply(0, Batch{Position: at(3), Changes: []platform.Change{put("op/config", 3, "{")}}))
-	require.False(t, r.Apply(0, Batch{Position: at(4), Changes: []platform.Change{removal("op/config", 4)}}))
+	require.False(t, r.Apply(0, Batch{Position: at(3), Changes: []platform.Change{put(platformtest.ConfigurationKey, 3, "{")}}))
+	require.False(t, r.Apply(0, Batch{Position: at(4), Changes: []platform.Change{removal(platformtest.ConfigurationKey, 4)}}))
 	require.Equal(t, uint64(7), r.View(0).Configuration.Version)
 	require.True(t, r.Apply(0, Batch{Position: at(5), Changes: []platform.Change{configurationAt(5, 8)}}))
 }
@@ -86,7 +85,7 @@
 			revision := uint64(i + 2)
 			c := rapid.SampledFrom([]platform.Change{
 				entryAt(id, revision, "ready"), entryAt(id, revision, "draining"),
-				removal("servers/"+id, revision), put("servers/"+id, revision, "?"),
+				removal(platformtest.EndpointKey(id), revision), put(platformtest.EndpointKey(id), revision, "?"),
 			}).Draw(t, "change")
 			changes = append(changes, c)
 			newest[id] = c
@@ -111,7 +110,7 @@
 func TestForgottenRemovalsDoNotComeBack(t *testing.T) {
 	r := newTestReplica()
 	old := entryAt("i-1", 3, "ready")
-	r.Apply(0, Batch{Position: at(4), Changes: []platform.Change{configurationAt(2, 1), old, removal("servers/i-1", 4)}})
+	r.Apply(0, Batch{Position: at(4), Changes: []platform.Change{configurationAt(2, 1), old, removal(platformtest.EndpointKey("i-1"), 4)}})
 	r.Expire(testHistory)
 	r.Expire(testLifetime)
 	r.Apply(testLifetime, Batch{Changes: []platform.Change{old}})
@@ -140,7 +139,7 @@
 			id := fmt.Sprintf("i-%d", rapid.IntRange(1, 4).Draw(t, "id"))
 			c := rapid.SampledFrom([]platform.Change{
 				entryAt(id, revision, "ready"), entryAt(id, revision, "draining"),
-				removal("servers/"+id, revision), configurationAt(revision, revision),
+				removal(platformtest.EndpointKey(id), revision), configurationAt(revision, revision),
 			}).Draw(t, "change")
 			source.Apply(now, Batch{Position: at(revision), Changes: []platform.Change{c}})
 		}
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -1,7 +1,6 @@
 package follow
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 
 	"toucangap/internal/catalog"
 	"toucangap/platform"
+	"toucangap/platform/platformtest"
 )
 
 // restored returns the change as one of the store's second incarnation.
@@ -29,9 +29,7 @@
 // reportAt is an endpoint's report with a number, of the incarnation that started at
 // the time.
 func reportAt(id string, revision uint64, state string, report, started int) platform.Change {
-	return put("servers/"+id, revision, fmt.Sprintf(
-		`{"Service":"s","Address":"10.0.0.1:80","Zone":"d","Version":"v1","Slots":2,"State":%q,"ColdRemainingMs":0,"Sequence":%d,"born":%d}`,
-		state, report, started))
+	return put(platformtest.EndpointKey(id), revision, platformtest.Entry(state, report, started))
 }
 
 // TestRestoredStoreReplacesKnownState: the store comes back from a copy with lower
@@ -64,7 +62,7 @@
 			configurationAt(90, 7), reportAt("i-d", 95, "draining", 9, 5),
 			reportAt("i-9", 50, "ready", 1, 5), reportAt("i-e", 98, "ready", 1, 8), reportAt("i-a", 97, "ready", 1, 5),
 		}})
-		r.Apply(0, Batch{Position: at(101), Changes: []platform.Change{removal("servers/i-9", 101)}})
+		r.Apply(0, Batch{Position: at(101), Changes: []platform.Change{removal(platformtest.EndpointKey("i-9"), 101)}})
 		r.Apply(time.Second, Batch{Complete: true, Position: inSecond(60), Changes: []platform.Change{
 			restored(configurationAt(58, 6)), restored(reportAt("i-d", 55, "ready", 8, 5)),
 			restored(reportAt("i-9", 50, "ready", 1, 5)), restored(reportAt("i-e", 57, "draining", 7, 5)),
@@ -91,7 +89,7 @@
 		require.Contains(t, availableIDs(r.View(2*time.Second)), name, "it has reported to the restored store")
 	}
 	r = known()
-	r.Apply(2*time.Second, Batch{Position: inSecond(61), Changes: []platform.Change{restored(removal("servers/i-9", 61))}})
+	r.Apply(2*time.Second, Batch{Position: inSecond(61), Changes: []platform.Change{restored(removal(platformtest.EndpointKey("i-9"), 61))}})
 	r.Expire(end)
 	require.NotContains(t, availableIDs(r.View(end)), "i-9", "the store has removed the entry again")
 }
@@ -265,7 +263,7 @@
 		writeEndpoint := func(id string) {
 			report++
 			if states[id] == "" {
-				store.write(removal("servers/"+id, 0))
+				store.write(removal(platformtest.EndpointKey(id), 0))
 				return
 			}
 			store.write(reportAt(id, 0, states[id], report, 5))
