standin/caller: List the requests whose outcome was unknown before any fault

The demonstration failed once on such a request and its log did not say which one it was. The summary now names the service, the request, the time and the duration.

--- a/standin/caller/recorder.go
+++ b/standin/caller/recorder.go
@@ -53,13 +53,23 @@
 	AtMs int64 `json:"at_ms"`
 }
 
+// UnknownRequest is a request whose outcome was unknown before any unplanned fault.
+type UnknownRequest struct {
+	Service string `json:"service"`
+	ID      string `json:"id"`
+	// AtMs is when it ended, since the start of the run, and TookMs how long it took, both in
+	// milliseconds.
+	AtMs   int64 `json:"at_ms"`
+	TookMs int64 `json:"took_ms"`
+}
+
 // request is the recorded state of one request.
 type request struct {
 	kind    Kind
 	outcome Outcome
 }
 
-// maxListedBroken limits the list of broken flows.
+// maxListedBroken limits the lists of broken flows and of requests with unknown outcomes.
 const maxListedBroken = 200
 
 // recorder collects the results that all callers observe.
@@ -79,9 +89,11 @@
 	// outcomes before any unplanned fault.
 	brokenBeforeFault  int
 	unknownBeforeFault int
-	unmatched          int
-	late               int
-	contradicted       int
+	// unknown lists the latter.
+	unknown      []UnknownRequest
+	unmatched    int
+	late         int
+	contradicted int
 }
 
 // serviceRecord collects the results that callers of one service observe.
@@ -126,13 +138,24 @@
 	s := r.services[service]
 	s.outcomes[outcome]++
 	if outcome == Unknown && r.beforeUnplannedFault() {
-		r.unknownBeforeFault++
+		r.recordUnknown(service, id, elapsed)
 	}
 	if outcome == Answered {
 		s.times = append(s.times, elapsed)
 	}
 }
 
+// recordUnknown counts an unknown outcome before any unplanned fault, and lists it if there
+// is room.
+func (r *recorder) recordUnknown(service, id string, elapsed time.Duration) {
+	r.unknownBeforeFault++
+	if len(r.unknown) < maxListedBroken {
+		r.unknown = append(r.unknown, UnknownRequest{
+			Service: service, ID: id, AtMs: time.Since(r.started).Milliseconds(), TookMs: elapsed.Milliseconds(),
+		})
+	}
+}
+
 // beforeUnplannedFault reports whether no unplanned fault has occurred yet.
 func (r *recorder) beforeUnplannedFault() bool {
 	return time.Since(r.started) < r.plannedUntil
--- a/standin/caller/run_test.go
+++ b/standin/caller/run_test.go
@@ -231,6 +231,7 @@
 	})
 	require.Equal(t, s.BrokenFlows, s.BrokenBeforeFault)
 	require.Positive(t, s.UnknownBeforeFault)
+	require.NotEmpty(t, s.UnknownRequests)
 	require.Len(t, s.Violations, 2)
 }
 
--- a/standin/caller/summary.go
+++ b/standin/caller/summary.go
@@ -37,6 +37,8 @@
 	// outcomes before any unplanned fault.
 	BrokenBeforeFault  int `json:"broken_early"`
 	UnknownBeforeFault int `json:"unknown_early"`
+	// UnknownRequests lists the latter.
+	UnknownRequests []UnknownRequest `json:"unknown_requests,omitempty"`
 	// FlowAfterDrain lists new flows that drained endpoints still received.
 	FlowAfterDrain []FlowAfterDrain `json:"new_at_drained,omitempty"`
 	Fabric         fabric.Counts    `json:"fabric"`
@@ -124,6 +126,9 @@
 	for _, b := range s.Broken {
 		fmt.Fprintf(out, "  %s %s at %s: %s after %.1f s\n", b.Service, b.Caller, b.Endpoint, b.Reason, float64(b.AtMs)/1000)
 	}
+	for _, u := range s.UnknownRequests {
+		fmt.Fprintf(out, "  %s request %s: outcome unknown after %.1f s, took %d ms\n", u.Service, u.ID, float64(u.AtMs)/1000, u.TookMs)
+	}
 	for _, v := range s.Violations {
 		fmt.Fprintln(out, "VIOLATION:", v)
 	}
--- a/standin/caller/verify.go
+++ b/standin/caller/verify.go
@@ -59,6 +59,7 @@
 		Seed: o.Seed, Unmatched: r.unmatched, Late: r.late, Contradicted: r.contradicted,
 		BrokenFlows: r.brokenCount, Broken: slices.Clone(r.broken),
 		BrokenBeforeFault: r.brokenBeforeFault, UnknownBeforeFault: r.unknownBeforeFault,
+		UnknownRequests: slices.Clone(r.unknown),
 	}
 	for _, name := range services {
 		s.Services = append(s.Services, r.services[name].summarize(name))
