--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -274,25 +274,17 @@
 		next = earliest(next, due)
 	}
 	nextEnd, ended := d.endEvacuations(now)
-	return earliestSet(next, nextEnd), changed || ended
+	return earliest(next, nextEnd), changed || ended
 }
 
-// earliest returns the earlier of two times of which 0 means none.
+// earliest returns the earlier of two times, of which 0 means none.
 func earliest(a, b time.Duration) time.Duration {
-	if a == 0 {
-		return b
+	if a == 0 || b == 0 {
+		return a + b
 	}
 	return min(a, b)
 }
 
-// earliestSet returns the earlier of two times of which either may be 0, for none.
-func earliestSet(a, b time.Duration) time.Duration {
-	if b == 0 {
-		return a
-	}
-	return earliest(a, b)
-}
-
 // View returns the current state as an immutable view.
 func (d *Directory) View(now time.Duration) *View {
 	v := &View{
