--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -100,8 +100,10 @@
 		f.synLength = 0
 	}
 	if r.mustWait(now, sv) && f.synLength > 0 {
-		if f.overflow = r.overflowWithRoom(now, sv); f.overflow == nil || len(sv.held) > 0 {
-			f.overflow = nil
+		if len(sv.held) == 0 {
+			f.overflow = r.overflowWithRoom(now, sv)
+		}
+		if f.overflow == nil {
 			r.hold(now, f, route)
 			return
 		}
