--- a/internal/spillover/spillover.go
+++ b/internal/spillover/spillover.go
@@ -35,9 +35,9 @@
 type domain struct {
 	name  string
 	slots int
-	// work averages the times of answers without the round trip.
+	// work averages the times of answers without the round trip, in nanoseconds.
 	work average
-	// roundTrip averages the handshakes, 0 if there was none.
+	// roundTrip averages the times of handshakes in nanoseconds, 0 if there was none.
 	roundTrip float64
 	// unanswered counts consecutive unanswered SYNs.
 	unanswered  int
@@ -55,8 +55,8 @@
 	remote []domain
 	// remoteWork averages the answers of all other domains.
 	remoteWork average
-	// base is the time of an answer that did not wait, without the round trip; 0 until
-	// baseAnswers were seen.
+	// base is the time of an answer that did not wait, without the round trip, in
+	// nanoseconds; 0 until baseAnswers were seen.
 	base float64
 	// roundTrips averages the round trips that a flow needs.
 	roundTrips float64
