--- a/internal/balance/ranking.go
+++ b/internal/balance/ranking.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"toucangap/internal/rendezvous"
 )
 
 // Costs are the parts of a candidate's cost.
@@ -35,7 +37,7 @@
 
 // rank returns the candidate's rank; mayTry is the result of Request.mayTry.
 func rank(e *Endpoint, r *Request, s *Service, mayTry bool) Rank {
-	k := Rank{Endpoint: e, hash: rendezvousHash(r.Hash, uint64(e.Entry.Token()))}
+	k := Rank{Endpoint: e, hash: rendezvous.Score(r.Hash, uint64(e.Entry.Token()))}
 	k.Suspect = e.Suspect(r.Now) || e.unansweredSYNs > 0 && !mayTry
 	if e.Domain.Unreachable() {
 		k.Unreachable = k.Suspect || !mayTry || len(r.Tried) > 0 || e.Domain.Avoided(r.Now)
@@ -118,12 +120,3 @@
 	}
 	return 0
 }
-
-// rendezvousHash ranks an endpoint for a flow, lowest first (rendezvous hashing
-// with the finalizer of SplitMix64).
-func rendezvousHash(hash, token uint64) uint64 {
-	x := hash ^ token*0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/coldstart/hosts.go
+++ b/internal/coldstart/hosts.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"toucangap/internal/rendezvous"
 )
 
 // removedRetention is how long the Registry keeps removed registrations. It exceeds
@@ -158,17 +160,9 @@
 	if inner := a.host.Domain == r.domain; inner != (b.host.Domain == r.domain) {
 		return inner
 	}
-	scoreA, scoreB := score(a.hash, r.endpoint), score(b.hash, r.endpoint)
+	scoreA, scoreB := rendezvous.Score(a.hash, r.endpoint), rendezvous.Score(b.hash, r.endpoint)
 	if scoreA != scoreB {
 		return scoreA > scoreB
 	}
 	return a.host.Name < b.host.Name
 }
-
-// score is the rendezvous hash of a host and an endpoint, by the finalizer of SplitMix64.
-func score(host, endpoint uint64) uint64 {
-	x := host ^ endpoint*0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -9,6 +9,8 @@
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
+
+	"toucangap/internal/rendezvous"
 )
 
 // Protocol is the IP protocol number of a flow's transport.
@@ -89,10 +91,7 @@
 	return best
 }
 
-// mix is the finalizer of SplitMix64, a bijection with full avalanche.
+// mix is one step of SplitMix64.
 func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
+	return rendezvous.Mix(x + rendezvous.Increment)
 }
--- a/internal/spillover/spillover.go
+++ b/internal/spillover/spillover.go
@@ -10,6 +10,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"toucangap/internal/rendezvous"
 )
 
 // Parameters of what is known of other domains.
@@ -258,10 +260,7 @@
 }
 
 // uniform maps a flow's hash to [0, 1) independently of the route's services and of the
-// order of endpoints (finalizer of SplitMix64).
+// order of endpoints.
 func uniform(hash uint64) float64 {
-	x := hash + 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return float64((x^x>>31)>>11) / (1 << 53)
+	return float64(rendezvous.Mix(hash+rendezvous.Increment)>>11) / (1 << 53)
 }
