--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -26,6 +26,9 @@
 // without TLS.
 var ErrPlainText = merry.Sentinel("commands over plain text are allowed on loopback addresses only")
 
+// ErrUnsupported means that this kind of host does not support the query.
+var ErrUnsupported = merry.Sentinel("this host does not support the query")
+
 // The limits of the server.
 const (
 	readTimeout = 5 * time.Second
@@ -41,6 +44,8 @@
 	Dump(ctx context.Context, limit int) (adminapi.Dump, error)
 	// Flow returns the endpoint of a flow.
 	Flow(ctx context.Context, q FlowQuery) (adminapi.FlowResponse, error)
+	// Explain returns where a new flow would go, or ErrUnsupported.
+	Explain(ctx context.Context, q ExplainQuery) (adminapi.ExplainResponse, error)
 }
 
 // FlowQuery identifies a flow by protocol, caller and service name.
@@ -50,6 +55,14 @@
 	Service  string
 }
 
+// ExplainQuery identifies a flow by caller and service; at most Limit endpoints are
+// listed.
+type ExplainQuery struct {
+	Caller  netip.AddrPort
+	Service string
+	Limit   int
+}
+
 // Commands are the requests of operators that change state.
 type Commands interface {
 	// Mark drains or undrains an endpoint.
@@ -128,6 +141,7 @@
 	mux.HandleFunc("GET "+adminapi.PathStatus, s.status)
 	mux.HandleFunc("GET "+adminapi.PathDump, s.dump)
 	mux.HandleFunc("GET "+adminapi.PathFlow, s.flow)
+	mux.HandleFunc("GET "+adminapi.PathExplain, s.explain)
 	mux.HandleFunc("GET "+adminapi.PathMetrics, s.metricsText)
 	mux.HandleFunc("GET "+adminapi.PathMetricsJSON, s.metricsJSON)
 	if s.options.Commands == nil {
@@ -140,6 +154,10 @@
 
 // respond writes the value as JSON or, if err is set, the error.
 func (s *Server) respond(w http.ResponseWriter, value any, err error) {
+	if errors.Is(err, ErrUnsupported) {
+		s.respondError(w, http.StatusNotImplemented, err)
+		return
+	}
 	if err != nil {
 		s.respondError(w, http.StatusConflict, err)
 		return
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -1,7 +1,8 @@
 // Package adminapi holds the messages of the HTTP interface for operators, shared
 // by the daemon and the command-line client. Queries are GET requests and change
 // nothing; commands are POST requests. A rejected request gets a Failure with
-// the status 400 if it is malformed, else 409.
+// the status 400 if it is malformed, 501 if this kind of host does not support it,
+// else 409.
 package adminapi
 
 // The URL paths of the interface.
@@ -9,6 +10,7 @@
 	PathStatus  = "/v1/status"
 	PathDump    = "/v1/dump"
 	PathFlow    = "/v1/flow"
+	PathExplain = "/v1/explain"
 	PathMark    = "/v1/mark"
 	PathStop    = "/v1/stop"
 	PathMetrics = "/metrics"
--- a/internal/command/root/host_test.go
+++ b/internal/command/root/host_test.go
@@ -88,6 +88,34 @@
 	require.Equal(t, []string{"GET /v1/flow?caller=203.0.113.9%3A40000&protocol=udp&service=alerts"}, h.requests)
 }
 
+// TestExplain guards against a verb that leaves out what the host has answered: the
+// outcome, the parts of costs, the reasons, and how many endpoints are not shown.
+func TestExplain(t *testing.T) {
+	s := newSession(t)
+	h := newHost(t, map[string]any{adminapi.PathExplain: adminapi.ExplainResponse{
+		Host: "a", Flow: "203.0.113.9:40000>198.18.0.1:8080", Route: "web", Service: "render", Version: 8, Position: "1/77",
+		Existing: &adminapi.ExistingFlow{State: "ended", Endpoint: "i-2", IdleMs: 12},
+		Outcome:  "placed", Cause: "lowest_cost", Endpoint: "i-1", InFlight: 3, Held: 1, Limit: 4.25,
+		Candidates: []adminapi.ExplainCandidate{
+			{Name: "i-1", Domain: "east", Available: true, Cost: 23_000, Expected: 20_000, InProgress: 3000, Flows: 2, Requests: 1},
+			{Name: "i-2", Domain: "west", Reasons: []string{"evacuated", "other_domain"}, Cost: 124_050, Expected: 20_000, OtherDomain: 4000, Failures: 100_050},
+		},
+		CandidateCount: 5,
+	}})
+	arguments := []string{"--host", h.address(), "explain", "--caller", "203.0.113.9:40000", "--service", "198.18.0.1:8080"}
+	golden(t, "explain", normalize(s.mustRun(append(arguments, "--limit", "2")...), h))
+	require.Equal(t, []string{"GET /v1/explain?caller=203.0.113.9%3A40000&limit=2&service=198.18.0.1%3A8080"}, h.requests)
+	require.Contains(t, s.mustRun(append([]string{"-o", "json"}, arguments...)...), `"other_domain_microseconds": 4000`)
+
+	for _, wrong := range [][]string{arguments[:5], append(arguments[:4:4], "x", "--service", "web"), append(arguments, "rest")} {
+		code, _, errOut := s.run(wrong...)
+		require.Equal(t, command.ExitUsage, code, "%v: %s", wrong, errOut)
+	}
+	code, out, _ := s.run(append([]string{"--host", newHost(t, nil).address()}, arguments[2:]...)...)
+	require.Equal(t, command.ExitFailure, code)
+	require.Contains(t, out, "no such service")
+}
+
 func TestHostCommands(t *testing.T) {
 	s := newSession(t)
 	h := newHost(t, map[string]any{
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -13,7 +13,7 @@
 	"toucangap/internal/command/queries"
 )
 
-const description = `Queries: status, dump, flow, bundle check|show|diff|current, settings check.
+const description = `Queries: status, dump, flow, explain, bundle check|show|diff|current, settings check.
 Commands that change state: drain, undrain, stop, bundle sign|propose|accept, keys.
 
 Exit codes:
@@ -47,6 +47,7 @@
 			queries.Status(env),
 			queries.Dump(env),
 			queries.Flow(env),
+			queries.Explain(env),
 			commands.Drain(env),
 			commands.Undrain(env),
 			commands.Stop(env),
--- a/internal/engine/queries.go
+++ b/internal/engine/queries.go
@@ -168,6 +168,12 @@
 	return a, e.explain(ctx, fp, &a)
 }
 
+// Explain implements admin.Queries. Flows of such a host are placed by their owner, which
+// need not be this one.
+func (e *Engine) Explain(context.Context, admin.ExplainQuery) (adminapi.ExplainResponse, error) {
+	return adminapi.ExplainResponse{}, merry.Wrap(admin.ErrUnsupported)
+}
+
 // explain adds the state of the flow in its shard.
 func (e *Engine) explain(ctx context.Context, fp flow.Fingerprint, a *adminapi.FlowResponse) error {
 	shard := steer.ShardOf(fp, len(e.shards))
--- a/internal/relayd/queries.go
+++ b/internal/relayd/queries.go
@@ -14,8 +14,13 @@
 	"toucangap/internal/relay"
 )
 
-// errNoRoute is returned for a query whose route does not exist.
-var errNoRoute = merry.Sentinel("no route with that name or address")
+// Errors of queries.
+var (
+	// errNoRoute is returned for a query whose route does not exist.
+	errNoRoute = merry.Sentinel("no route with that name or address")
+	// errCaller is returned for a query whose caller can't send packets to this host.
+	errCaller = merry.Sentinel("caller is not an IPv4 address")
+)
 
 // queries answers operators' queries. It implements admin.Queries.
 type queries struct {
@@ -142,7 +147,7 @@
 	}
 	caller, ok := catalog.AddressFrom(query.Caller)
 	if !ok {
-		return adminapi.FlowResponse{}, merry.New("caller is not an IPv4 address")
+		return adminapi.FlowResponse{}, merry.Wrap(errCaller)
 	}
 	key := catalog.Flow{Caller: caller, Destination: route.Address}
 	answer := adminapi.FlowResponse{Fingerprint: key.String(), Service: route.Service(key.Hash()), Why: "none"}
