backlog: Rescue callers by their deadlines; equal limits for hosts with equal need

Cause: after a long outage the callers that sent first have half a second left, and the order served the newest first and one late request in three. The limit on requests at endpoints kept the ratios between hosts, so that those that came back first kept the room, and its doubling after a start filled the endpoints' queues.

Change: package backlog. Late requests go first once some would miss their deadlines, counting that a flow soon after lost SYNs may be a further attempt. A flow is rejected only if it can't be forwarded in time at twice the pace. The limit rises additively and falls multiplicatively.

--- a/internal/balance/window.go
+++ b/internal/balance/window.go
@@ -17,12 +17,13 @@
 	// firstAnswers is the number of answers, after a start, from which the
 	// uncongested time is taken: endpoints were idle until then.
 	firstAnswers = 5
-	// growth and shrinkage change the limit for each answer that is not congested
-	// and for each one that is. Until the first congested one after a start, the limit
-	// grows by startGrowth, so that it doubles within an answer time.
-	growth      = 0.5
-	startGrowth = 1.0
-	shrinkage   = 1.0
+	// growth is the part of the lowest limit by which the limit grows within an answer
+	// time without congestion, shrinkage the multiple of what exceeds the lowest limit by
+	// which it would fall within one in which all answers are congested.
+	growth    = 0.25
+	shrinkage = 2.0
+	// minShrinkage is the least part of shrinkage, so that the lowest limit is reached.
+	minShrinkage = 0.1
 	// minLimit keeps answers coming, from which the window learns.
 	minLimit = 2
 	// baseDrift is the weight of a congested answer in the uncongested time while the
@@ -47,6 +48,10 @@
 // of the slots, so that no slot stays unused, and rises with others. Outside
 // congestion there is no limit.
 //
+// The increase is additive and the decrease multiplicative, so that the limits of hosts
+// with the same need become equal: hosts come back from an outage one by one, and those
+// that found free slots must not keep them from the others.
+//
 // It follows concurrency limits by measured delay (Jain 1989; TCP Vegas, Brakmo and
 // Peterson 1995).
 type Window struct {
@@ -65,10 +70,8 @@
 	samples int
 	// answeredAt is when the last answer was recorded.
 	answeredAt time.Duration
-	// congested is the moving share of congested answers, shrunk is set once there
-	// was one.
+	// congested is the moving share of congested answers.
 	congested float64
-	shrunk    bool
 }
 
 // NewWindow returns a window that is closed: after a start nothing is known of the
@@ -121,11 +124,10 @@
 		if w.limit <= lowest {
 			w.base += baseDrift * (float64(took) - w.base)
 		}
-		w.limit = max(lowest, w.limit-shrinkage)
+		w.limit = max(lowest, w.limit-shrinkage*max(minShrinkage, (w.limit-lowest)/w.limit))
 	case w.closed && float64(inFlight) >= w.limit-1:
-		w.limit += w.growth()
+		w.limit += growth * lowest / w.limit
 	}
-	w.shrunk = w.shrunk || congested
 	if !congested {
 		w.base += serviceSmoothing * (float64(took) - w.base)
 	}
@@ -134,11 +136,13 @@
 	}
 }
 
-func (w *Window) growth() float64 {
-	if w.shrunk {
-		return growth
+// Uncongested returns the answer time without congestion, the given one if that is not
+// known yet.
+func (w *Window) Uncongested(usual time.Duration) time.Duration {
+	if w.samples < firstAnswers {
+		return usual
 	}
-	return startGrowth
+	return time.Duration(w.base)
 }
 
 // Congested reports whether an answer time counts as congested; none does until the
--- a/internal/balance/window_test.go
+++ b/internal/balance/window_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"pgregory.net/rapid"
 )
 
 const (
@@ -87,40 +86,32 @@
 	require.Greater(t, w.Limit(10), 20.0)
 }
 
-// TestOrderOfWaiters: among requests that can still be in time the urgent ones first,
-// then the newest; late ones by the time that their callers still wait.
-func TestOrderOfWaiters(t *testing.T) {
-	const now, takes = 10 * time.Second, 60 * time.Millisecond
-	since := func(ago time.Duration, priority int, until time.Duration) *Waiter {
-		return &Waiter{Since: now - ago, Target: windowGoal, Until: now + until, Priority: priority}
-	}
-	order := []*Waiter{
-		since(100*time.Millisecond, 1, time.Second), since(150*time.Millisecond, 1, time.Second),
-		since(0, 2, time.Second), since(190*time.Millisecond, 2, time.Second),
-		since(600*time.Millisecond, 2, 300*time.Millisecond), since(200*time.Millisecond, 1, 900*time.Millisecond),
-	}
-	for i, w := range order {
-		for j, other := range order {
-			require.Equal(t, i < j, w.Before(other, now, takes), "%d before %d", i, j)
+// TestLimitsOfHostsBecomeEqual guards against hosts that came back first and keep the room
+// that they found: a host that came back later holds its requests at its share meanwhile.
+func TestLimitsOfHostsBecomeEqual(t *testing.T) {
+	hosts := []Window{NewWindow(0), NewWindow(0)}
+	now := time.Duration(0)
+	for i := range hosts {
+		for range firstAnswers {
+			hosts[i].RecordAnswer(now, uncongested, windowGoal, 1, 10)
 		}
 	}
-}
-
-// TestOrderIsStrict: the order of any waiters has no cycles and no ties both ways.
-func TestOrderIsStrict(t *testing.T) {
-	draw := rapid.Custom(func(t *rapid.T) *Waiter {
-		d := func(name string) time.Duration {
-			return time.Duration(rapid.IntRange(0, 5).Draw(t, name)) * 100 * time.Millisecond
-		}
-		return &Waiter{Since: d("since"), Target: d("target"), Until: d("until"), Priority: rapid.IntRange(0, 2).Draw(t, "priority")}
-	})
-	rapid.Check(t, func(t *rapid.T) {
-		a, b, c := draw.Draw(t, "a"), draw.Draw(t, "b"), draw.Draw(t, "c")
-		const now, takes = 500 * time.Millisecond, 60 * time.Millisecond
-		require.False(t, a.Before(a, now, takes))
-		require.False(t, a.Before(b, now, takes) && b.Before(a, now, takes))
-		if a.Before(b, now, takes) && b.Before(c, now, takes) {
-			require.True(t, a.Before(c, now, takes))
+	hosts[0].limit, hosts[1].limit = 40, 10
+	for range 20 {
+		now += 100 * time.Millisecond
+		sum := hosts[0].Limit(10) + hosts[1].Limit(10)
+		for i := range hosts {
+			// All endpoints queue while the two have more than 30 requests there.
+			took := uncongested
+			if sum > 30 {
+				took = congested
+			}
+			for range int(hosts[i].Limit(10)) {
+				limit := int(hosts[i].Limit(10))
+				hosts[i].Full(now, limit+1, 10)
+				hosts[i].RecordAnswer(now, took, windowGoal, limit, 10)
+			}
 		}
-	})
+	}
+	require.InDelta(t, hosts[0].Limit(10), hosts[1].Limit(10), 6)
 }
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"time"
 
+	"toucangap/internal/backlog"
 	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
 )
@@ -108,8 +109,10 @@
 	overflow *overflow
 	// waiter orders the flow among the held ones; retransmissions is the number of
 	// its SYN's copies before the last one.
-	waiter          balance.Waiter
+	waiter          backlog.Request
 	retransmissions uint32
+	// class is why it was chosen among the held ones.
+	class backlog.Class
 	// slot is that of the held flow's route in its service's shares; counts are those of
 	// the route.
 	slot   int
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"toucangap/internal/backlog"
 	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
 )
@@ -19,9 +20,10 @@
 	// unknownRoundTrip is the ratio of the answer time to a round trip that is assumed
 	// until both were measured.
 	unknownRoundTrip = 3.0
-	// lateShare is the number of releases of which one goes to a request that is late
-	// already, while others can still be answered within their targets.
-	lateShare = 3
+	// surplusDoubt is how much faster than expected held flows may be forwarded. A flow is
+	// rejected only if it can't be forwarded in time even then, since its caller has few
+	// attempts.
+	surplusDoubt = 2
 	// maxHeld limits the flows that a service's queue holds.
 	maxHeld = 512
 	// copyDelay is how late a copy of a SYN may come.
@@ -95,9 +97,9 @@
 // holdsNothing reports whether flows are forwarded or rejected without a wait.
 func (r *Relay) holdsNothing() bool { return r.options.Disabled.Holding || r.draining || r.lagging }
 
-// hold lets a flow wait until there is room at the endpoints. If the flow that is last
-// in the order can't be forwarded before its caller's attempt ends, that one is
-// rejected at once.
+// hold lets a flow wait until there is room at the endpoints; package backlog decides
+// which one is forwarded next. If not all held flows can be forwarded before their callers'
+// attempts end, one is rejected at once.
 func (r *Relay) hold(now time.Duration, f *flow, route *catalog.Route) {
 	f.state = stateHeld
 	f.waiter = f.newWaiter(now, route)
@@ -114,72 +116,79 @@
 }
 
 // newWaiter returns the place of a flow that begins to wait.
-func (f *flow) newWaiter(now time.Duration, route *catalog.Route) balance.Waiter {
+func (f *flow) newWaiter(now time.Duration, route *catalog.Route) backlog.Request {
 	since := now - sinceFirstSYN(f.retransmissions)
-	return balance.Waiter{
-		Since: since, Target: f.valuable(), Priority: route.Priority,
+	return backlog.Request{
+		Since: since, Target: f.valuable(), Timeout: f.timeout, Priority: route.Priority,
 		Until: min(since+openTimeout-openMargin, since+f.timeout-f.service.observed.UsualAnswerTime()),
 	}
 }
 
-// surplus returns the last held flow in the order if it can't be forwarded before its
-// caller's attempt ends, or nil.
+// surplus returns a held flow that can't be forwarded before its caller's attempt ends, or
+// nil. With shares, it is one of the route that is furthest above its share.
 func (r *Relay) surplus(now time.Duration, sv *service) *flow {
-	last := sv.held[sv.last(now)]
-	if len(sv.held) > maxHeld || now+r.queueTime(now, sv) > last.waiter.Until {
-		return last
+	all, found := sv.order.Surplus(r.surplusPace(now, sv), maxHeld, len(sv.held), sv.waiter)
+	if !found {
+		return nil
 	}
-	return nil
+	route := sv.routeAboveShare()
+	if route == allRoutes {
+		return sv.held[all]
+	}
+	sv.selectRoute(route)
+	return sv.held[sv.eligible[sv.order.LeastUrgent(len(sv.eligible), sv.eligibleWaiter)]]
 }
 
-// queueTime returns the expected time until all held flows of a service have been
-// forwarded: by Little's law, as many as may wait for answers in each answer time.
-// Until answers have been seen, it counts the slots and what waits for them.
-func (r *Relay) queueTime(now time.Duration, sv *service) time.Duration {
-	ahead, atOnce := float64(len(sv.held)), sv.window.Limit(r.fairLimit(now, sv))
-	if !sv.observed.Measured() {
-		atOnce = r.slotShare(now, sv)
-		ahead += max(0, float64(sv.inFlight)-atOnce)
+// pace returns how fast the held flows of a service are forwarded.
+func (r *Relay) pace(now time.Duration, sv *service) backlog.Pace {
+	return backlog.Pace{
+		Now: now, Takes: sv.observed.UsualAnswerTime(),
+		Interval: sv.released.Interval(r.slotInterval(now, sv)), LostUntil: r.losses.Until(),
 	}
-	atOnce += r.overflowLimit(now, sv)
-	return time.Duration(ahead * float64(sv.observed.UsualAnswerTime()) / atOnce)
 }
 
-// next returns the position of the flow to forward next: the first in the order or, once
-// in lateShare releases, the first of those that are late. With shares, it is a flow of the
-// route that is released next.
-func (sv *service) next(now time.Duration) int {
-	takes := sv.observed.UsualAnswerTime()
-	route, releases := sv.nextRoute()
-	lateFirst := releases%lateShare == lateShare-1
-	return sv.extreme(route, func(a, b *flow) bool {
-		if in := a.waiter.InTarget(now, takes); lateFirst && in != b.waiter.InTarget(now, takes) {
-			return !in
-		}
-		return a.waiter.Before(&b.waiter, now, takes)
-	})
+// slotInterval returns the time between two answers of the host's share of the slots, if
+// all of them are in use and requests take as long as without congestion.
+func (r *Relay) slotInterval(now time.Duration, sv *service) time.Duration {
+	return time.Duration(float64(sv.window.Uncongested(sv.observed.UsualAnswerTime())) / r.slotShare(now, sv))
 }
 
-// last returns the position of the last flow in the order. With shares, it is a flow of the
-// route that is furthest above its share.
-func (sv *service) last(now time.Duration) int {
-	return sv.extreme(sv.routeAboveShare(), func(a, b *flow) bool {
-		return b.waiter.Before(&a.waiter, now, sv.observed.UsualAnswerTime())
-	})
+// surplusPace returns the fastest pace that can be expected. Until answers have been seen,
+// the assumed time to answer is short already, and what is at the endpoints has to be
+// answered first.
+func (r *Relay) surplusPace(now time.Duration, sv *service) backlog.Pace {
+	p := r.pace(now, sv)
+	p.Interval = min(p.Interval, r.slotInterval(now, sv))
+	if sv.observed.Measured() {
+		p.Interval /= surplusDoubt
+		return p
+	}
+	p.Now += time.Duration(max(0, float64(sv.inFlight)-r.slotShare(now, sv)) * float64(p.Interval))
+	return p
 }
 
-// extreme returns the position of the held flow that precedes all others, of one route or
-// of allRoutes.
-func (sv *service) extreme(route int, precedes func(a, b *flow) bool) int {
-	best := -1
+// next returns the position of the flow to forward next, and why it is that one. With
+// shares, it is a flow of the route that is released next.
+func (r *Relay) next(now time.Duration, sv *service) (int, backlog.Class) {
+	sv.selectRoute(sv.nextRoute())
+	i, class := sv.order.Next(r.pace(now, sv), len(sv.eligible), sv.eligibleWaiter)
+	return sv.eligible[i], class
+}
+
+// selectRoute sets the eligible flows: the held ones of one route or of allRoutes.
+func (sv *service) selectRoute(route int) {
+	sv.eligible = sv.eligible[:0]
 	for i, f := range sv.held {
-		if (route == allRoutes || f.slot == route) && (best < 0 || precedes(f, sv.held[best])) {
-			best = i
+		if route == allRoutes || f.slot == route {
+			sv.eligible = append(sv.eligible, i)
 		}
 	}
-	return best
 }
 
+func (sv *service) waiter(i int) *backlog.Request { return &sv.held[i].waiter }
+
+func (sv *service) eligibleWaiter(i int) *backlog.Request { return &sv.held[sv.eligible[i]].waiter }
+
 func (r *Relay) removeHeld(f *flow) {
 	sv := f.service
 	if i := slices.Index(sv.held, f); i >= 0 {
@@ -202,9 +211,10 @@
 					break
 				}
 			}
-			f := sv.held[sv.next(now)]
-			f.overflow = elsewhere
-			sv.releases++
+			i, class := r.next(now, sv)
+			f := sv.held[i]
+			f.overflow, f.class = elsewhere, class
+			sv.released.Record(now, r.slotInterval(now, sv), len(sv.held) > 1)
 			if now >= f.waiter.Until {
 				// This host was paused, or its timers are late.
 				r.rejectHeld(now, f)
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucangap/internal/backlog"
 	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
 )
@@ -97,6 +98,9 @@
 	Retransmissions uint32
 	// Waited is the time since the host first saw the flow.
 	Waited time.Duration
+	// Held is set if the flow was held before; Class is then why it was the next one.
+	Held   bool
+	Class  backlog.Class
 	Choice balance.Choice
 	// Version is that of the configuration, Position that of the view.
 	Version  uint64
@@ -163,8 +167,10 @@
 	// Placed counts new flows, FailedOver the SYNs sent to another endpoint.
 	Placed     int64
 	FailedOver int64
-	// Held counts the new flows that had to wait for room at the endpoints.
-	Held int64
+	// Held counts the new flows that had to wait for room at the endpoints, Released those
+	// that were forwarded then, by why they were the next ones.
+	Held     int64
+	Released [backlog.Classes]int64
 	// Diverted counts new flows of services some of whose endpoints were left out since
 	// their failure domain is evacuated.
 	Diverted int64
--- a/internal/relay/overflow.go
+++ b/internal/relay/overflow.go
@@ -90,16 +90,3 @@
 	wait := sv.window.Congested(f.answerTime-sv.spill.controller.Distance(f.overflow.domain), f.valuable())
 	f.overflow.limit.RecordAnswer(now, wait, f.overflow.inFlight)
 }
-
-// overflowLimit returns how many requests may wait in other domains.
-func (r *Relay) overflowLimit(now time.Duration, sv *service) (limit float64) {
-	if !r.spills(sv) {
-		return 0
-	}
-	for _, o := range sv.spill.overflows {
-		if len(o.endpoints) > 0 && !sv.spill.controller.CutOff(now, o.domain) {
-			limit += o.limit.Limit(now)
-		}
-	}
-	return limit
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"container/heap"
 	"time"
 
+	"toucangap/internal/backlog"
 	"toucangap/internal/balance"
 	"toucangap/internal/catalog"
 	"toucangap/internal/coldstart"
@@ -94,6 +95,8 @@
 type Relay struct {
 	options Options
 	started time.Duration
+	// losses tells until when callers' SYNs were lost.
+	losses backlog.Losses
 
 	view      *catalog.View
 	endpoints map[catalog.Token]*balance.Endpoint
@@ -145,8 +148,11 @@
 	inFlight int
 	window   balance.Window
 	held     []*flow
-	// releases counts the held flows that were forwarded.
-	releases int
+	// order chooses among the held flows, released is how often one is forwarded.
+	order    backlog.Order
+	released backlog.Rate
+	// eligible is the reused list of the held flows that order chooses among.
+	eligible []int
 	// cold limits the flows to cold endpoints; nil if the service has no limit.
 	cold *coldService
 	// shares divides the releases among the held flows' routes; nil means that they go
@@ -164,6 +170,7 @@
 	return &Relay{
 		options:          o,
 		started:          now,
+		losses:           backlog.NewLosses(now),
 		endpoints:        make(map[catalog.Token]*balance.Endpoint),
 		services:         make(map[string]*service),
 		domains:          make(map[string]*domain),
@@ -285,6 +292,7 @@
 // include the host's own delay, and callers that waited have given up or
 // retransmit. The host continues as if it had just started.
 func (r *Relay) Resume(now time.Duration) {
+	r.losses = backlog.NewLosses(now)
 	for _, e := range r.endpoints {
 		e.Reset()
 	}
--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -95,14 +95,13 @@
 	}
 }
 
-// nextRoute returns the slot of the route that is released next, and the number of
-// releases that lateShare refers to: those of the route or, without shares, of all.
-func (sv *service) nextRoute() (slot, releases int) {
+// nextRoute returns the slot of the route that is released next.
+func (sv *service) nextRoute() int {
 	if sv.shares == nil {
-		return allRoutes, sv.releases
+		return allRoutes
 	}
-	slot, _ = sv.shares.Next()
-	return slot, sv.shares.Releases(slot)
+	slot, _ := sv.shares.Next()
+	return slot
 }
 
 // routeAboveShare returns the slot of the route that is furthest above its share.
--- a/internal/relay/shares_test.go
+++ b/internal/relay/shares_test.go
@@ -69,7 +69,8 @@
 	sv := r.relay.service("s")
 	for r.counts("steady").Released == 0 {
 		before := r.relay.heldFlows
-		r.relay.release(r.now, sv.held[sv.next(r.now)])
+		next, _ := r.relay.next(r.now, sv)
+		r.relay.release(r.now, sv.held[next])
 		require.Equal(t, before-1, r.relay.heldFlows)
 	}
 	require.LessOrEqual(t, r.counts("burst").Released-released, int64(1))
@@ -139,7 +140,8 @@
 	}
 	sv := r.relay.service("s")
 	for range 10 {
-		r.relay.release(r.now, sv.held[sv.next(r.now)])
+		next, _ := r.relay.next(r.now, sv)
+		r.relay.release(r.now, sv.held[next])
 	}
 	require.Greater(t, r.counts("burst").Released, int64(3))
 	require.Greater(t, r.counts("steady").Released, int64(3))
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -95,6 +95,7 @@
 	f.sequence = s.Sequence
 	f.dataEnd = s.Sequence
 	f.retransmissions = s.Retransmissions()
+	r.losses.Record(now, f.retransmissions > 0)
 	f.synLength = copy(f.synFrame[:], frame)
 	if f.synLength < len(frame) {
 		f.synLength = 0
@@ -117,6 +118,7 @@
 	p := r.placement(f.key, f.route, f.service.name)
 	p.Retransmissions = f.retransmissions
 	p.Waited = now - f.startedAt
+	p.Held, p.Class = f.state == stateHeld, f.class
 	candidates := r.candidates(now, f.service)
 	if len(candidates) == 0 {
 		r.removeFlow(f)
@@ -137,6 +139,9 @@
 	f.requestAt, f.progressAt = now, now
 	r.tryEndpoint(now, f, p.Choice.Endpoint, frame)
 	r.stats.Placed++
+	if p.Held {
+		r.stats.Released[p.Class]++
+	}
 	if f.service.evacuated > 0 {
 		r.recordEvacuation(p.Choice.Endpoint)
 	}
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"toucangap/internal/backlog"
 	"toucangap/internal/catalog"
 	"toucangap/internal/relay"
 )
@@ -69,6 +70,9 @@
 	set("flows", s.Flows)
 	set("flows_placed", s.Placed)
 	set("flows_held", s.Held)
+	for class, n := range s.Released {
+		set("flows_released_"+backlog.Class(class).String(), n)
+	}
 	set("flows_diverted", s.Diverted)
 	set("flows_to_evacuated_endpoints", s.LastResort)
 	set("flows_sent_on", s.FailedOver)
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -96,11 +96,25 @@
 	return append(attrs, more...)
 }
 
+// order returns why a flow was the next one of those that waited, "at_once" if it did not
+// wait.
+func order(p *relay.Placement) string {
+	if !p.Held {
+		return "at_once"
+	}
+	return p.Class.String()
+}
+
 // Placed implements relay.Observer.
 func (o *observer) Placed(now time.Duration, p relay.Placement) {
-	if p.Try == 1 && p.Retransmissions == 0 {
-		if o.allows(now, o.routine) {
-			event.Log(o.logger, event.FlowPlaced, placementAttrs(&p, slog.Bool("trial", p.Choice.Trial), slog.Duration("waited", p.Waited))...)
+	if p.Try == 1 {
+		limit := o.routine
+		if p.Retransmissions > 0 {
+			limit = o.noteworthy
+		}
+		if o.allows(now, limit) {
+			event.Log(o.logger, event.FlowPlaced, placementAttrs(&p, slog.Bool("trial", p.Choice.Trial),
+				slog.Duration("waited", p.Waited), slog.String("order", order(&p)))...)
 		}
 		return
 	}
