--- a/internal/backlog/backlog_test.go
+++ b/internal/backlog/backlog_test.go
@@ -150,3 +150,38 @@
 	r.Record(9*time.Second, 0, true)
 	require.InDelta(t, float64(20*ms), float64(r.Interval(0)), float64(ms))
 }
+
+// TestOrderIsStrict guards against cycles and ties, by which a request could be passed over
+// for ever: which one goes next does not depend on the order in which requests are listed,
+// the choice agrees with that among any two, and each request has its turn.
+func TestOrderIsStrict(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := make([]Request, rapid.IntRange(1, 12).Draw(t, "n"))
+		for i := range list {
+			list[i] = sent(time.Duration(rapid.IntRange(0, 13).Draw(t, "ago"))*100*ms, rapid.IntRange(0, 2).Draw(t, "priority"))
+		}
+		p := pace
+		p.LostUntil = now - time.Duration(rapid.IntRange(0, 4).Draw(t, "lost"))*500*ms
+		var o Order
+		for len(list) > 0 {
+			i, class := o.Next(p, len(list), at(list))
+			first := list[i]
+			reversed := make([]Request, 0, len(list))
+			for k := range list {
+				reversed = append(reversed, list[len(list)-1-k])
+			}
+			k, again := o.Next(p, len(list), at(reversed))
+			require.Equal(t, class, again)
+			require.Equal(t, first, reversed[k])
+			for _, other := range list {
+				if other.inTarget(&p) != first.inTarget(&p) {
+					continue
+				}
+				pair := []Request{other, first}
+				k, _ := o.Next(p, 2, at(pair))
+				require.Equal(t, first, pair[k])
+			}
+			list = append(list[:i], list[i+1:]...)
+		}
+	})
+}
--- a/internal/backlog/order.go
+++ b/internal/backlog/order.go
@@ -70,7 +70,9 @@
 	}).index, InTarget
 }
 
-func byTime(a, b waiting) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.index, b.index)) }
+func byTime(a, b waiting) int {
+	return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.priority, b.priority), cmp.Compare(a.index, b.index))
+}
 
 // atRisk reports whether one of the late requests would miss its deadline if another kind
 // of request went first. Those that have missed it count no more.
