--- a/internal/relayd/registrar_test.go
+++ b/internal/relayd/registrar_test.go
@@ -18,6 +18,7 @@
 	"toucangap/internal/event"
 	"toucangap/internal/follow"
 	"toucangap/platform"
+	"toucangap/platform/platformtest"
 )
 
 // registrarStore responds to a registrar's calls, reports them, and states the
@@ -29,8 +30,7 @@
 
 func (s *registrarStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
-	w.Header().Set("Store-Era", s.incarnation)
-	_, _ = io.WriteString(w, `{"Lease":7,"TtlMs":20000,"Revision":9}`)
+	platformtest.Accept(w, s.incarnation, 9)
 	s.calls <- fmt.Sprintf("%s %s", r.URL.Path, body)
 }
 
@@ -75,11 +75,12 @@
 	r, _, calls := startRegistrar(t, s, follow.Batch{
 		Complete: true, Position: catalog.Position{Incarnation: 1, Revision: 5}, Changes: []platform.Change{secret},
 	})
-	require.Contains(t, calls, `"Puts":[{"Key":"toucangap/hosts/a"`)
+	require.Contains(t, calls, platformtest.Registration("a"))
 	r.deregister(t.Context())
 	removal := <-s.calls
-	require.Contains(t, removal, `"ExpectedRevision":[{"Key":"toucangap/hosts/a","Revision":9}]`)
-	require.Contains(t, removal, `"Remove":["toucangap/hosts/a"]`)
+	condition, removed := platformtest.Removal("a", 9)
+	require.Contains(t, removal, condition)
+	require.Contains(t, removal, removed)
 	select {
 	case <-r.ended:
 	default:
@@ -101,8 +102,9 @@
 	again := newRegistrar(r.host, r.store, c, r.logger, time.Second)
 	again.start(t.Context())
 	written := <-s.calls
-	require.True(t, strings.Contains(written, `"Value":"a25vd24="`), written)
-	require.Contains(t, written, `"ExpectedRevision":[{"Key":"toucangap/secret","Revision":0}]`)
+	condition, value := platformtest.SecretCreation("known")
+	require.Contains(t, written, value)
+	require.Contains(t, written, condition)
 }
 
 // TestShutdownDuringTheStart: SIGTERM arrives before the host has begun to register. It
