relay: Measure the pace of held flows by those that were forwarded

Cause: flows that routers had moved to another host, and rejected ones, were counted as forwarded. After an outage that is 10 to 30 in 0.1 s, so that a host took the room for larger than it was and began to rescue late requests too late. The time of an attempt stood in two packages; relay uses that of backlog.

--- a/internal/backlog/request.go
+++ b/internal/backlog/request.go
@@ -8,9 +8,9 @@
 import "time"
 
 const (
-	// attemptTimeout is how long a caller waits for the acceptance of a SYN, from its first
+	// AttemptTimeout is how long a caller waits for the acceptance of a SYN, from its first
 	// copy, before it tries again, and retryPause the mean pause until then.
-	attemptTimeout = 1400 * time.Millisecond
+	AttemptTimeout = 1400 * time.Millisecond
 	retryPause     = 50 * time.Millisecond
 	// neededAnswerTimes is the multiple of the usual answer time that a request is given
 	// before its caller gives up. Work varies; an answer that is late has used a slot for
@@ -58,8 +58,8 @@
 // up by now, or are about to, don't count.
 func (r *Request) deadline(p *Pace) time.Duration {
 	end := r.Until
-	for before := time.Duration(0); before < r.Timeout; before += attemptTimeout + retryPause {
-		if before > 0 && r.Since-attemptTimeout-retryPause >= p.LostUntil {
+	for before := time.Duration(0); before < r.Timeout; before += AttemptTimeout + retryPause {
+		if before > 0 && r.Since-AttemptTimeout-retryPause >= p.LostUntil {
 			break
 		}
 		if by := r.Since + r.Timeout - before - neededAnswerTimes*p.Takes; by > p.Now {
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -11,7 +11,7 @@
 
 const (
 	// openTimeout is how long a caller waits for the acceptance of its first SYN.
-	openTimeout = 1400 * time.Millisecond
+	openTimeout = backlog.AttemptTimeout
 	// openMargin is the part of it that is left for opening the flow.
 	openMargin = 150 * time.Millisecond
 	// slotAllowance is the number of requests for each slot: hosts do not know of
@@ -214,7 +214,6 @@
 			i, class := r.next(now, sv)
 			f := sv.held[i]
 			f.overflow, f.class = elsewhere, class
-			sv.released.Record(now, r.slotInterval(now, sv), len(sv.held) > 1)
 			if now >= f.waiter.Until {
 				// This host was paused, or its timers are late.
 				r.rejectHeld(now, f)
@@ -253,6 +252,7 @@
 	counts.addOutcome(released)
 	if released {
 		held.chargeRelease(slot)
+		held.released.Record(now, r.slotInterval(now, held), len(held.held) > 0)
 	}
 }
 
