--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -84,6 +84,7 @@
 	backend    *backend // that has the end of the handshake
 	openedAt   time.Duration
 	lastPacket time.Duration
+	taker      *machine // to which the routers sent the last packet
 	// Packets that reached other backends since one last reached its own.
 	astray      int
 	astraySince time.Duration
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -85,6 +85,8 @@
 	// expected is set while the platform has stopped the process.
 	expected bool
 	ended    int // by itself
+	// harmedUntil is the end of the last disruption on the machine.
+	harmedUntil time.Duration
 }
 
 func (w *world) must(err error) {
@@ -459,6 +461,9 @@
 	if best == nil {
 		return netip.AddrPort{}, false
 	}
+	if f := w.flows[k]; f != nil {
+		f.taker = best
+	}
 	return netip.AddrPortFrom(best.ip, w.port), true
 }
 
@@ -496,10 +501,13 @@
 
 // counts reports whether the rule FLOW counts for a flow now: its backend lives and has had
 // no impairment in the stable window, and the flow is neither too old nor idle too long.
-// No script stops a backend, drops a route or impairs a machine.
+// After a disruption on the machine that took the flow's packets, it counts only once that is
+// in touch again; the senders of resets are that machine and backends. No script stops a
+// backend or drops a route.
 func (w *world) counts(f *flow) bool {
 	now := w.now()
-	return now >= f.backend.cleanSince+stableWindow && now < f.openedAt+flowLifetime && now < f.lastPacket+idleTimeout
+	inTouch := f.taker == nil || f.taker.harmedUntil == 0 || now >= f.taker.harmedUntil+stableWindow
+	return inTouch && now >= f.backend.cleanSince+stableWindow && now < f.openedAt+flowLifetime && now < f.lastPacket+idleTimeout
 }
 
 // judgeReset judges a reset that a requester got.
