--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -18,6 +18,8 @@
 	firstRetransmit   = 200 * time.Millisecond
 	maxRetransmit     = 1600 * time.Millisecond
 	maxRetransmission = 8
+	// reuseAfter is ReuseAfterS with a margin.
+	reuseAfter = 2500 * time.Millisecond
 	// endedTime is how long an ended flow is known.
 	endedTime = 2 * time.Second
 )
@@ -34,10 +36,13 @@
 	way            *way
 	address        netip.AddrPort
 
+	born     int64
 	sequence int
 	state    string
 	// drainAt is when the store acknowledged that the backend is draining; 0 if not.
 	drainAt time.Duration
+	// dead is set once the backend is lost for good.
+	dead bool
 	// cut is set while the backend is partitioned from all machines.
 	cut bool
 	// cleanSince is the end of the last impairment on the backend or its links.
@@ -80,11 +85,15 @@
 }
 
 func (w *world) addBackend(service, zone string, maxConnections int) *backend {
+	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, 0, byte(len(w.backends) + 1)}), w.port)
+	return w.addBackendAt(at, service, zone, maxConnections)
+}
+
+func (w *world) addBackendAt(at netip.AddrPort, service, zone string, maxConnections int) *backend {
 	n := len(w.backends) + 1
-	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, 0, byte(n)}), w.port)
 	b := &backend{
 		w: w, number: 0x5a000000 + uint64(n)*0x01f3b, service: service, zone: zone, slots: 2,
-		maxConnections: maxConnections, address: at, state: "ready",
+		maxConnections: maxConnections, address: at, state: "ready", born: time.Now().UnixMilli(),
 		flows: make(map[flowKey]*backendFlow), cleanSince: -time.Hour,
 	}
 	b.id = fmt.Sprintf("i-%08x", b.number)
@@ -100,12 +109,34 @@
 
 // register writes the backend's entry.
 func (b *backend) register() {
+	if b.dead {
+		return
+	}
 	b.sequence++
 	value := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":%q,"ColdRemainingMs":0,"Sequence":%d,"born":%d}`,
-		b.service, b.address, b.zone, b.slots, b.state, b.sequence, b.w.born)
+		b.service, b.address, b.zone, b.slots, b.state, b.sequence, b.born)
 	b.w.store.Put("servers/"+b.id, []byte(value), 0)
 }
 
+// loseForGood ends the backend silently and for good. The store removes its entry after three
+// heartbeat intervals; its address goes to a new backend of another service.
+func (b *backend) loseForGood(other string) {
+	w := b.w
+	w.record("backend %s falls silent for good", b.id)
+	b.dead = true
+	b.flows, b.queue, b.running, b.endedFlows = make(map[flowKey]*backendFlow), nil, nil, 0
+	time.AfterFunc(reuseAfter, func() {
+		w.do(func() {
+			if closing.Load() {
+				return
+			}
+			_ = b.conn.Close()
+			w.addBackendAt(b.address, other, b.zone, b.maxConnections)
+		})
+	})
+	time.AfterFunc(3*heartbeat, func() { w.do(func() { w.store.Remove("servers/" + b.id) }) })
+}
+
 // drain reports that the backend is draining. It goes on serving.
 func (b *backend) drain() {
 	b.state = "draining"
@@ -130,7 +161,7 @@
 			continue
 		}
 		b.w.mu.Lock()
-		if !b.cut && (recipient == 0 || recipient == b.number) {
+		if !b.cut && !b.dead && (recipient == 0 || recipient == b.number) {
 			b.receive(p)
 		}
 		b.w.mu.Unlock()
@@ -139,6 +170,9 @@
 
 // send sends a packet to the flow's requester, after the delay of that way.
 func (b *backend) send(f flowKey, p packet) {
+	if b.dead {
+		return
+	}
 	p.src, p.dst = f.route, f.requester
 	datagram := seal(b.w.key, p)
 	to := netip.AddrPortFrom(f.requester.addr(), b.w.port)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -49,7 +49,6 @@
 type world struct {
 	mu         sync.Mutex
 	started    time.Time
-	born       int64
 	port       uint16
 	key        uint64
 	rng        *rand.Rand
@@ -105,7 +104,7 @@
 // newWorld starts the store. The record goes to the file.
 func newWorld(root, recordFile string, seed uint64) *world {
 	w := &world{
-		started: time.Now(), born: time.Now().UnixMilli(), key: seed*7919 + 11,
+		started: time.Now(), key: seed*7919 + 11,
 		rng: rand.New(rand.NewPCG(seed, 7)), store: kv.New(),
 		flows: make(map[flowKey]*flow), runs: make(map[string]int), done: make(chan struct{}),
 	}
@@ -502,12 +501,12 @@
 // counts reports whether the rule FLOW counts for a flow now: its backend lives and has had
 // no impairment in the stable window, and the flow is neither too old nor idle too long.
 // After a disruption on the machine that took the flow's packets, it counts only once that is
-// in touch again; the senders of resets are that machine and backends. No script stops a
-// backend or drops a route.
+// in touch again; the senders of resets are that machine and backends. No script drops a
+// route.
 func (w *world) counts(f *flow) bool {
 	now := w.now()
 	inTouch := f.taker == nil || f.taker.harmedUntil == 0 || now >= f.taker.harmedUntil+stableWindow
-	return inTouch && now >= f.backend.cleanSince+stableWindow && now < f.openedAt+flowLifetime && now < f.lastPacket+idleTimeout
+	return inTouch && !f.backend.dead && now >= f.backend.cleanSince+stableWindow && now < f.openedAt+flowLifetime && now < f.lastPacket+idleTimeout
 }
 
 // judgeReset judges a reset that a requester got.
@@ -515,7 +514,7 @@
 	sender := "the system"
 	var by *backend
 	for _, b := range w.backends {
-		if b.address.Addr() == from.Addr() {
+		if b.address.Addr() == from.Addr() && !b.dead {
 			sender, by = "backend "+b.id, b
 		}
 	}
