--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -20,6 +20,7 @@
 		work   = 5 * time.Millisecond
 		pause  = 2 * time.Second
 		asks   = 6
+		gap    = 2 * time.Second
 	)
 	w.configure(2000)
 	w.addUsual(2000)
@@ -57,7 +58,7 @@
 		}
 		for _, m := range w.machines {
 			w.roll(m)
-			time.Sleep(1300 * time.Millisecond)
+			time.Sleep(gap)
 		}
 	}()
 	begun := time.Now()
