--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,8 +16,8 @@
 	name := flag.String("case", "", "the case")
 	root := flag.String("root", ".", "the repository")
 	recordFile := flag.String("record", "record.txt", "where the record goes")
+	trouble := flag.String("trouble", "1", "0 leaves the disruption out")
 	flag.Parse()
-	trouble := os.Getenv("TROUBLE") != "0"
 	run := cases[*name]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
@@ -25,7 +25,7 @@
 	}
 	w := newWorld(*root, *recordFile, 1)
 	time.AfterFunc(110*time.Second, func() { w.fail("takes too long") })
-	run(w, trouble)
+	run(w, *trouble != "0")
 	os.Exit(w.finish())
 }
 
