relay: Reset flows for a dead endpoint only on fresh evidence about themselves

Cause: three failovers made an endpoint count as dead, without an age, for every flow without progress since the last of them. The request, the best test, was not forwarded.

Change: a flow is reset only if a copy of its own request is unanswered, and three packets since that request in all. While such a request waits, new flows test the endpoint. Event 8002 says how long the request has waited.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -42,11 +42,14 @@
 	// to the others: several handshake timeouts. After a network partition most
 	// endpoints are suspect though they work; the others must not be overloaded.
 	suspectPenalty = 60 * time.Millisecond
-	// deadAfterFailovers is the number of consecutive failovers after which an
-	// endpoint is considered dead, and minDeadSpan the least time between the
-	// SYNs of the first and the last: networks often lose packets in bursts.
-	deadAfterFailovers = 3
-	minDeadSpan        = 40 * time.Millisecond
+	// deadAfterUnanswered is the number of consecutive unanswered packets after which
+	// an endpoint is considered dead, and minUnansweredGap the least time between two
+	// that count: networks often lose packets in bursts.
+	deadAfterUnanswered = 3
+	minUnansweredGap    = 20 * time.Millisecond
+	// trialSpan is how long new flows test an endpoint for a request that waits there.
+	// It is shorter than the time until the request's next copy, which starts it again.
+	trialSpan = 400 * time.Millisecond
 )
 
 // Endpoint is one host's observations of an endpoint.
@@ -60,15 +63,17 @@
 
 	// unansweredSYNs counts unanswered SYNs since the endpoint was last alive.
 	unansweredSYNs int
-	// failovers counts those whose flow another endpoint accepted, the first and
-	// last of them sent here at firstFailoverSYN and lastFailoverSYN.
-	failovers        int
-	firstFailoverSYN time.Duration
-	lastFailoverSYN  time.Duration
+	// unansweredAt holds when the latest unanswered packets were sent whose callers were
+	// certainly waiting, the oldest first, and unansweredPackets their number since the
+	// endpoint was last alive.
+	unansweredAt      [deadAfterUnanswered]time.Duration
+	unansweredPackets int
 	// suspectUntil is when the suspicion expires. The next flow is then a trial,
 	// and probing is set until it has a result.
 	suspectUntil time.Duration
 	probing      bool
+	// trialsUntil is until when new flows test the endpoint one after the other.
+	trialsUntil time.Duration
 	// lastAlive is when the endpoint last showed that it is alive.
 	lastAlive time.Duration
 	// answerTime averages the times from requests to the first bytes of answers.
@@ -119,8 +124,9 @@
 // caused. It reports whether SYNs were unanswered before.
 func (e *Endpoint) RecordAlive(now time.Duration) (recovered bool) {
 	recovered = e.unansweredSYNs > 0
-	e.unansweredSYNs, e.failovers = 0, 0
+	e.unansweredSYNs, e.unansweredPackets = 0, 0
 	e.probing = false
+	e.trialsUntil = 0
 	e.lastAlive = now
 	return recovered
 }
@@ -157,43 +163,63 @@
 	e.unansweredSYNs++
 	e.probing = false
 	pause := min(initialSuspicion<<min(e.unansweredSYNs-1, 8), maxSuspicion)
+	if now < e.trialsUntil {
+		pause = initialSuspicion
+	}
 	e.suspectUntil = now + pause
 }
 
-// RecordFailover records that another endpoint accepted a flow whose SYN, sent
-// here at the given time, had no handshake ACK. Only then is it certain that the
-// caller was present to send one. It reports whether the endpoint is now
-// considered dead.
-func (e *Endpoint) RecordFailover(sent time.Duration) (dead bool) {
-	if sent < e.lastAlive || e.unansweredSYNs == 0 {
+// RecordUnanswered records that a packet, sent here at the given time, was unanswered
+// although its caller was certainly waiting: another endpoint has accepted its flow, or
+// the caller has sent it again. It reports whether the endpoint now counts as dead for
+// flows that have waited long enough; see DeadSince.
+func (e *Endpoint) RecordUnanswered(sent time.Duration) (dead bool) {
+	n := e.unansweredPackets
+	if sent < e.lastAlive || n > 0 && sent < e.unansweredAt[n-1]+minUnansweredGap {
+		return false
+	}
+	if n == deadAfterUnanswered {
+		copy(e.unansweredAt[:], e.unansweredAt[1:])
+		n--
+	}
+	e.unansweredAt[n] = sent
+	e.unansweredPackets = n + 1
+	if e.unansweredPackets < deadAfterUnanswered {
 		return false
 	}
-	if e.failovers == 0 {
-		e.firstFailoverSYN, e.lastFailoverSYN = sent, sent
+	e.trialsUntil = 0
+	return true
+}
+
+// StartTrials makes the next new flows trials, one at a time and with short pauses,
+// for trialSpan or until the endpoint is alive or considered dead. A request that
+// waits there may be lost, and what is known of the endpoint may be older than it.
+func (e *Endpoint) StartTrials(now time.Duration) {
+	e.trialsUntil = now + trialSpan
+	if !e.probing {
+		e.suspectUntil = min(e.suspectUntil, now)
 	}
-	e.failovers++
-	e.firstFailoverSYN, e.lastFailoverSYN = min(e.firstFailoverSYN, sent), max(e.lastFailoverSYN, sent)
-	return e.Dead()
 }
 
-// Dead reports whether the endpoint is considered dead: several of its flows
-// failed over, spread over some time, and it was not alive in between.
-func (e *Endpoint) Dead() bool {
-	return e.failovers >= deadAfterFailovers && e.lastFailoverSYN-e.firstFailoverSYN >= minDeadSpan
+// trialDue reports whether the next new flow tests the endpoint, unless its SYNs were
+// unanswered too recently.
+func (e *Endpoint) trialDue(now time.Duration) bool {
+	return e.unansweredSYNs > 0 || now < e.trialsUntil && !e.probing || e.Domain.Unreachable()
 }
 
-// DeadSince reports whether the endpoint is considered dead and a flow whose SYN
-// was sent after the given time has failed over. Otherwise the endpoint may have
-// come back before that time.
-func (e *Endpoint) DeadSince(alive time.Duration) bool {
-	return e.Dead() && e.lastFailoverSYN > alive
+// DeadSince reports whether the endpoint is considered dead by packets that were all sent
+// at the given time or later. Earlier ones say nothing of that time: the endpoint may have
+// been cut off and be reachable again, without a packet that shows it.
+func (e *Endpoint) DeadSince(since time.Duration) bool {
+	return e.unansweredPackets == deadAfterUnanswered && e.unansweredAt[0] >= since
 }
 
 // Reset discards observations of the endpoint, after a time in which the host
 // itself could not have received packets, or for a restarted endpoint process.
 func (e *Endpoint) Reset() {
-	e.unansweredSYNs, e.failovers = 0, 0
+	e.unansweredSYNs, e.unansweredPackets = 0, 0
 	e.probing = false
+	e.trialsUntil = 0
 	e.ownTally, e.reportedTally, e.sinceReported = Tally{}, Tally{}, Tally{}
 	e.answerTime = decayingAverage{}
 }
--- a/internal/balance/ranking.go
+++ b/internal/balance/ranking.go
@@ -43,7 +43,7 @@
 		k.Unreachable = k.Suspect || !mayTry || len(r.Tried) > 0 || e.Domain.Avoided(r.Now)
 		k.Suspect = k.Unreachable
 	}
-	k.Trial = (e.unansweredSYNs > 0 || e.Domain.Unreachable()) && !k.Suspect
+	k.Trial = e.trialDue(r.Now) && !k.Suspect
 	k.Expected = e.Expected(r.Now, s)
 	k.InProgress = time.Duration(busySlotCost * float64(s.UsualAnswerTime()) * float64(e.Busy))
 	if e.Entry.Domain != r.Domain {
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -96,8 +96,10 @@
 	// sent before.
 	Try             int
 	Retransmissions uint32
-	// Waited is the time since the host first saw the flow.
-	Waited time.Duration
+	// Waited is the time since the host first saw the flow, RequestWaited that since the
+	// request of an open flow was sent for the first time.
+	Waited        time.Duration
+	RequestWaited time.Duration
 	// Held is set if the flow was held before; Class is then why it was the next one.
 	Held   bool
 	Class  backlog.Class
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -149,22 +149,20 @@
 }
 
 // recordFailovers records the failover at each endpoint whose handshake timeout
-// expired and that does not hold the flow, and resets the flows that wait for one
-// now considered dead.
+// expired and that does not hold the flow.
 func (r *Relay) recordFailovers(now time.Duration, f *flow) {
 	if r.options.Disabled.DeathDetection {
 		return
 	}
 	for i, e := range f.tried[:min(f.timedOutTries, f.tries)] {
-		if e != f.endpoint {
-			r.recordSilence(now, f, i)
+		if e == f.endpoint {
+			continue
 		}
-		if e != f.endpoint && e.RecordFailover(f.triedAt[i]) {
-			r.resetWaitingFlows(now, e)
-		}
-		if e != f.endpoint {
-			r.recordDomainUnanswered(now, e, f.triedAt[i])
+		r.recordSilence(now, f, i)
+		if e.UnansweredSYNs() > 0 {
+			r.recordUnanswered(now, e, f.triedAt[i])
 		}
+		r.recordDomainUnanswered(now, e, f.triedAt[i])
 	}
 }
 
@@ -292,10 +290,10 @@
 func (r *Relay) resetIfUseless(now time.Duration, f *flow, progress bool) bool {
 	switch {
 	case f.state == stateEnded:
-		// Its data, sent again, has shown that its failure domain is unreachable.
+		// Its data, sent again, has shown that its endpoint or failure domain is gone.
 		return true
-	case !progress && !r.options.Disabled.DeathDetection && f.endpoint.DeadSince(f.progressAt):
-		r.resetDeadFlow(now, f)
+	case !progress && r.endpointDead(f):
+		r.resetFlow(now, f, RejectDeadEndpoint)
 		return true
 	case !progress && r.isUnreachable(now, f):
 		r.resetFlow(now, f, RejectUnreachableDomain)
@@ -307,17 +305,11 @@
 	return false
 }
 
-// resetDeadFlow resets a flow at a dead endpoint, so that its caller learns
-// immediately that no answer will come.
-func (r *Relay) resetDeadFlow(now time.Duration, f *flow) {
-	r.resetFlow(now, f, RejectDeadEndpoint)
-}
-
 // resetFlow resets an open flow and keeps it for late packets.
 func (r *Relay) resetFlow(now time.Duration, f *flow, reason Rejection) {
 	p := r.placement(f.key, f.route, f.service.name)
 	p.Endpoint = f.endpoint.Entry
-	p.Waited = now - f.startedAt
+	p.Waited, p.RequestWaited = now-f.startedAt, now-f.requestAt
 	p.Choice = balance.Choice{Endpoint: f.endpoint}
 	r.reject(now, p, f.acknowledged, reason)
 	f.resetSent = true
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -27,8 +27,8 @@
 	ReasonColdLimit Reason = "cold_limit"
 	// ReasonSuspect: SYNs to it were unanswered, and no flow may test it now.
 	ReasonSuspect Reason = "suspect"
-	// ReasonTrial: SYNs to it were unanswered, or its failure domain is unreachable, and one
-	// flow may test it.
+	// ReasonTrial: SYNs to it or copies of a request were unanswered, or its failure domain
+	// is unreachable, and one flow may test it.
 	ReasonTrial Reason = "trial"
 	// ReasonUnreachable: its failure domain is unreachable from this host.
 	ReasonUnreachable Reason = "unreachable_domain"
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -1,10 +1,6 @@
 package relay
 
-import (
-	"time"
-
-	"toucangap/internal/balance"
-)
+import "time"
 
 // defaultIdleTimeout is used if the configuration sets none.
 const defaultIdleTimeout = 15 * time.Second
@@ -94,19 +90,6 @@
 	}
 }
 
-// resetWaitingFlows resets the flows that wait for an answer of an endpoint
-// considered dead.
-func (r *Relay) resetWaitingFlows(now time.Duration, e *balance.Endpoint) {
-	if e.Busy == 0 {
-		return
-	}
-	for _, f := range r.flows {
-		if f.endpoint == e && f.state == stateOpen && f.waiting && e.DeadSince(f.progressAt) {
-			r.resetDeadFlow(now, f)
-		}
-	}
-}
-
 // recordAbandoned records that a request was abandoned. It counts as failed unless
 // it was counted when it became overdue, or began before the host saw the flow.
 func (r *Relay) recordAbandoned(now time.Duration, f *flow) {
--- a/internal/relay/unreachable.go
+++ b/internal/relay/unreachable.go
@@ -132,8 +132,11 @@
 		return
 	}
 	f.repeatGap = now - sent
-	if f.waiting && f.repeatGap >= minRepeatGap {
-		r.recordDomainUnanswered(now, f.endpoint, sent)
+	if f.copyUnanswered() {
+		e := f.endpoint
+		r.testEndpoint(now, f)
+		r.recordUnanswered(now, e, sent)
+		r.recordDomainUnanswered(now, e, sent)
 	}
 }
 
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -127,7 +127,8 @@
 func (o *observer) Rejected(now time.Duration, p relay.Placement, reason relay.Rejection) {
 	if o.allows(now, o.noteworthy) {
 		event.Log(o.logger, event.FlowRejected, placementAttrs(&p,
-			slog.String("reason", reason.String()), slog.Duration("waited", p.Waited), slog.Duration("view_age", o.age()))...)
+			slog.String("reason", reason.String()), slog.Duration("waited", p.Waited),
+			slog.Duration("request_waited", p.RequestWaited), slog.Duration("view_age", o.age()))...)
 	}
 }
 
