steer: Start anew to count unanswered packets after a pause of the caller

What callers saw: a TCP flow that had left three packets unanswered during a cut, and then paused, is reset at its next packet, however long ago that was.

Cause: a flow's unanswered packets counted without an age. The packet that could have shown that the endpoint answers again was not forwarded.

Change: after 20 s without a packet from the caller, the count starts anew. TCP and CoAP send again sooner until the flow is ended for good reason.

--- a/internal/steer/forward.go
+++ b/internal/steer/forward.go
@@ -4,6 +4,9 @@
 
 // forward decides on a packet of a flow that this host decides for.
 func (s *Shard) forward(c *packetContext, e *entry) Verdict {
+	if c.now-e.lastSeen > unansweredMemory {
+		e.unanswered = 0
+	}
 	s.noteActivity(c.now, e)
 	if e.ended == ReasonNone {
 		s.checkEnd(c, e)
--- a/internal/steer/params.go
+++ b/internal/steer/params.go
@@ -39,6 +39,10 @@
 	// deadFlowTimeout is how long a flow may go unanswered while its endpoint is
 	// dead, that is, answers no flow for deadAfterUnanswered.
 	deadFlowTimeout = 10 * time.Second
+	// unansweredMemory is how long a flow's unanswered packets count after its caller has
+	// sent one: what was lost before a pause says nothing about the packet after it. TCP
+	// and CoAP send again sooner until deadFlowTimeout has passed.
+	unansweredMemory = 20 * time.Second
 	// answersOthersWithin is how recently the endpoint must have answered
 	// another flow.
 	answersOthersWithin = time.Second
