--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -45,7 +45,7 @@
 	// deadAfterUnanswered is the number of consecutive unanswered packets after which
 	// an endpoint is considered dead, and minUnansweredGap the least time between two
 	// that count: networks often lose packets in bursts.
-	deadAfterUnanswered = 3
+	deadAfterUnanswered = 4
 	minUnansweredGap    = 20 * time.Millisecond
 	// trialSpan is how long new flows test an endpoint for a request that waits there.
 	// It is shorter than the time until the request's next copy, which starts it again.
