relay: Tell endpoints that lost a flow which one holds it

Cause: the first endpoint repeats its SYN+ACK for up to 9.4 s, so that the caller's packets name it. Only the host that placed the flow corrects them, and it tells nobody.

Change: after the handshake, and whenever the caller returns a wrong token, the SYN is sent again to the other endpoints with the token of the one that holds the flow. They take it for a copy and return that token from then on. A host that leaves the rotation fails SYNs over only with a further copy from their caller. Stand-in endpoints repeat their SYN+ACK.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -63,6 +63,8 @@
 
 	// unansweredSYNs counts unanswered SYNs since the endpoint was last alive.
 	unansweredSYNs int
+	// failedOverSYNs counts those whose flow another endpoint has accepted.
+	failedOverSYNs int
 	// unansweredAt holds when the latest unanswered packets were sent whose callers were
 	// certainly waiting, the oldest first, and unansweredPackets their number since the
 	// endpoint was last alive.
@@ -124,7 +126,7 @@
 // caused. It reports whether SYNs were unanswered before.
 func (e *Endpoint) RecordAlive(now time.Duration) (recovered bool) {
 	recovered = e.unansweredSYNs > 0
-	e.unansweredSYNs, e.unansweredPackets = 0, 0
+	e.unansweredSYNs, e.failedOverSYNs, e.unansweredPackets = 0, 0, 0
 	e.probing = false
 	e.trialsUntil = 0
 	e.lastAlive = now
@@ -169,6 +171,18 @@
 	e.suspectUntil = now + pause
 }
 
+// RecordFailover records that another endpoint has accepted a flow whose SYN, sent here at
+// the given time, is unanswered.
+func (e *Endpoint) RecordFailover(sent time.Duration) {
+	if sent >= e.lastAlive && e.failedOverSYNs < e.unansweredSYNs {
+		e.failedOverSYNs++
+	}
+}
+
+// MayRefuse reports whether SYNs are unanswered whose callers have gone: the endpoint may
+// have answered them with resets.
+func (e *Endpoint) MayRefuse() bool { return e.unansweredSYNs > e.failedOverSYNs }
+
 // RecordUnanswered records that a packet, sent here at the given time, was unanswered
 // although its caller was certainly waiting: another endpoint has accepted its flow, or
 // the caller has sent it again. It reports whether the endpoint now counts as dead for
@@ -217,7 +231,7 @@
 // Reset discards observations of the endpoint, after a time in which the host
 // itself could not have received packets, or for a restarted endpoint process.
 func (e *Endpoint) Reset() {
-	e.unansweredSYNs, e.unansweredPackets = 0, 0
+	e.unansweredSYNs, e.failedOverSYNs, e.unansweredPackets = 0, 0, 0
 	e.probing = false
 	e.trialsUntil = 0
 	e.ownTally, e.reportedTally, e.sinceReported = Tally{}, Tally{}, Tally{}
--- a/internal/relay/flow.go
+++ b/internal/relay/flow.go
@@ -125,6 +125,8 @@
 	// resetSent is set once the host has reset the flow.
 	resetSent bool
 
+	acceptance acceptance
+
 	synFrame  [maxKeptSYN]byte
 	synLength int
 
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -31,8 +31,11 @@
 	now       time.Duration
 	directory *catalog.Directory
 	revision  uint64
-	// sent holds the ids of endpoints that got packets, and "reset" for resets.
+	// sent holds the ids of endpoints that got packets, and "reset" for resets. copies holds
+	// packets whose token names another endpoint than the one that gets them, as "i-1 names
+	// i-2".
 	sent   []string
+	copies []string
 	events []string
 }
 
@@ -76,7 +79,13 @@
 
 func (r *harness) publish() { r.relay.SetView(r.now, r.directory.View(r.now)) }
 
-func (r *harness) Forward(e *catalog.Entry, _ []byte) { r.sent = append(r.sent, e.ID) }
+func (r *harness) Forward(e *catalog.Entry, token catalog.Token, _ []byte) {
+	if token != e.Token() {
+		r.copies = append(r.copies, e.ID+" names "+r.relay.endpoints[token].Entry.ID)
+		return
+	}
+	r.sent = append(r.sent, e.ID)
+}
 
 func (r *harness) Reset(catalog.Flow, uint32) { r.sent = append(r.sent, "reset") }
 
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -286,6 +286,11 @@
 	r.reject(now, p, 0, reason)
 }
 
+// LeaveRotation is called when the host tells routers to move its flows to other hosts. A
+// missing handshake ACK may have reached one of them, so that SYNs fail over only with a
+// further copy from their caller.
+func (r *Relay) LeaveRotation() { r.leaving = true }
+
 // StopHolding forwards all held flows; later ones are not held. It is called before
 // the host exits.
 func (r *Relay) StopHolding(now time.Duration) {
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -189,6 +189,9 @@
 	TakenOver int64
 	// Contested counts packets that name another endpoint than their flow's.
 	Contested int64
+	// AcceptanceCopies counts SYNs sent again to endpoints that may have accepted a flow
+	// which another one holds.
+	AcceptanceCopies int64
 	// Evicted counts flows removed because the table was full.
 	Evicted           int64
 	RetransmittedSYNs int64
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -34,6 +34,7 @@
 		// A second endpoint accepted the SYN as well, and the caller now returns
 		// its token. The flow stays at the endpoint that was accepted first.
 		r.recordLateAcceptance(now, s)
+		r.announceHolder(now, f, r.endpoints[s.Token])
 		r.stats.Contested++
 		r.options.Observer.Contested(now, f.key, f.endpoint.Entry, s.Token)
 	}
@@ -146,6 +147,9 @@
 	r.recordAlive(now, f)
 	f.endpoint.Domain.RecordReached(f.sentTo(f.endpoint))
 	r.recordFailovers(now, f)
+	if f.tries > 1 || winner != f.tried[0] {
+		r.announceHolder(now, f, nil)
+	}
 }
 
 // recordFailovers records the failover at each endpoint whose handshake timeout
@@ -159,6 +163,9 @@
 			continue
 		}
 		r.recordSilence(now, f, i)
+		if i == 0 {
+			e.RecordFailover(f.triedAt[i])
+		}
 		if e.UnansweredSYNs() > 0 {
 			r.recordUnanswered(now, e, f.triedAt[i])
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,9 +23,10 @@
 
 // Output sends packets.
 type Output interface {
-	// Forward sends the packet in a frame to the endpoint. The frame begins with
-	// platform.RecipientBytes bytes of space for the endpoint's number.
-	Forward(e *catalog.Entry, frame []byte)
+	// Forward sends the packet in a frame to the endpoint, with the token that both ends
+	// return from then on. The frame begins with platform.RecipientBytes bytes of space for
+	// the endpoint's number.
+	Forward(e *catalog.Entry, token catalog.Token, frame []byte)
 	// Reset sends a reset to a flow's caller, whose last acknowledgement number is
 	// given.
 	Reset(flow catalog.Flow, lastAcknowledgement uint32)
@@ -116,6 +117,8 @@
 	// lagging is set while packets wait too long in this host's socket, so that
 	// times and missing handshake ACKs say nothing about endpoints.
 	lagging bool
+	// leaving is set while routers move the host's flows to other hosts, before it exits.
+	leaving bool
 	// draining is set once the host is about to exit, so that it holds nothing.
 	draining bool
 	// heldFlows is the number of held flows of all services.
--- a/internal/relay/stability_test.go
+++ b/internal/relay/stability_test.go
@@ -73,7 +73,7 @@
 // discard is an observer and output that does nothing, for benchmarks.
 type discard struct{ *harness }
 
-func (discard) Forward(*catalog.Entry, []byte) {}
+func (discard) Forward(*catalog.Entry, catalog.Token, []byte) {}
 
 func (discard) Reset(catalog.Flow, uint32) {}
 
--- a/internal/relay/syn.go
+++ b/internal/relay/syn.go
@@ -242,7 +242,7 @@
 
 func (r *Relay) forward(e *catalog.Entry, frame []byte) {
 	r.stats.Forwarded++
-	r.options.Output.Forward(e, frame)
+	r.options.Output.Forward(e, e.Token(), frame)
 }
 
 // reject sends a reset to the caller and notifies the observer of the reason.
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -61,7 +61,7 @@
 	f.timedOutTries = f.tries
 	f.count()
 	r.schedule(f, now+r.handshakeTimeout.current())
-	if f.synLength > 0 && f.tries < maxTries {
+	if f.synLength > 0 && f.tries < maxTries && !r.leaving {
 		r.failOver(now, f, 0, f.synFrame[:f.synLength])
 	}
 }
@@ -121,6 +121,9 @@
 		f.pastTarget = true
 		f.count()
 	}
+	if f.acceptance.pending() && now >= f.acceptance.due {
+		r.sendHolder(now, f)
+	}
 	idleAt := f.lastSeen + r.idleTimeout()
 	if now >= idleAt || now >= f.startedAt+r.options.FlowLifetime {
 		r.options.Observer.Ended(now, r.ending(now, f, "idle"))
@@ -137,5 +140,8 @@
 	if f.waiting && !f.pastTarget {
 		next = min(next, f.requestAt+f.valuable())
 	}
+	if f.acceptance.pending() {
+		next = min(next, f.acceptance.due)
+	}
 	r.schedule(f, max(next, now+time.Millisecond))
 }
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -67,6 +67,7 @@
 	set("packets", s.Packets)
 	set("packets_forwarded", s.Forwarded)
 	set("packets_contested", s.Contested)
+	set("syn_copies_to_other_endpoints", s.AcceptanceCopies)
 	set("flows", s.Flows)
 	set("flows_placed", s.Placed)
 	set("flows_held", s.Held)
--- a/internal/relayd/routes_test.go
+++ b/internal/relayd/routes_test.go
@@ -18,8 +18,8 @@
 // nowhere is a relay.Output that sends nothing.
 type nowhere struct{}
 
-func (nowhere) Forward(*catalog.Entry, []byte) {}
-func (nowhere) Reset(catalog.Flow, uint32)     {}
+func (nowhere) Forward(*catalog.Entry, catalog.Token, []byte) {}
+func (nowhere) Reset(catalog.Flow, uint32)                    {}
 
 // TestHeldFlowsAreCountedByRoute: without counts by route, metrics and dumps do not tell
 // which route's callers a closed window held or refused.
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -41,6 +41,7 @@
 	event.Log(d.logger, event.ShutdownStarted, slog.Duration("at_most", d.settings.Bounds.Stop-stopMargin))
 	d.waitForOthers(ctx, started)
 	d.ready.stopping.Store(true)
+	d.traffic.do(d.traffic.relay.LeaveRotation)
 	go d.registrar.deregister(context.WithoutCancel(ctx))
 	sleep(ctx, min(rotationExitTime, d.settings.Bounds.Stop/2))
 	d.traffic.do(func() { d.traffic.relay.StopHolding(d.clock.Monotonic()) })
--- a/internal/relayd/traffic.go
+++ b/internal/relayd/traffic.go
@@ -233,8 +233,8 @@
 }
 
 // Forward implements relay.Output.
-func (t *traffic) Forward(e *catalog.Entry, frame []byte) {
-	platform.AddressFrame(frame, e.Recipient, e.Token())
+func (t *traffic) Forward(e *catalog.Entry, token catalog.Token, frame []byte) {
+	platform.AddressFrame(frame, e.Recipient, token)
 	t.send(frame, e.Address.AddrPort())
 }
 
--- a/standin/emu/emu.go
+++ b/standin/emu/emu.go
@@ -11,6 +11,7 @@
 
 	"toucangap/internal/catalog"
 	"toucangap/internal/relay"
+	"toucangap/platform"
 	"toucangap/standin/ends"
 )
 
@@ -59,6 +60,8 @@
 	SameDomainDelay, CrossDomainDelay, CallerDelay time.Duration
 	// Loss is the fraction of datagrams that are lost.
 	Loss float64
+	// AcceptanceLoss is the fraction of SYN-ACKs that are lost besides.
+	AcceptanceLoss float64
 	// Retries is the maximum number of retries of a request.
 	Retries int
 	// ShareFailureReports makes the hosts of a domain exchange failure reports.
@@ -145,6 +148,8 @@
 	stopAt     time.Duration
 	loadFactor float64
 	moved      map[string]moved // by the domain that callers have left
+	// disturbedUntil is until when hosts are affected by kills and pauses of some.
+	disturbedUntil time.Duration
 }
 
 // New builds a deployment without running it.
@@ -271,6 +276,15 @@
 // lost decides at random whether a datagram is lost.
 func (em *Emulator) lost() bool { return em.Config.Loss > 0 && em.rng.Float64() < em.Config.Loss }
 
+// acceptanceLost decides at random whether a packet of an endpoint is a SYN-ACK that is lost.
+func (em *Emulator) acceptanceLost(packet []byte) bool {
+	if em.Config.AcceptanceLoss == 0 {
+		return false
+	}
+	s, err := platform.Decode(packet)
+	return err == nil && s.Syn && em.rng.Float64() < em.Config.AcceptanceLoss
+}
+
 // delay returns the one-way delay between domains with up to 50 µs of jitter.
 func (em *Emulator) delay(a, b string) time.Duration {
 	d := em.Config.CrossDomainDelay
--- a/standin/emu/host.go
+++ b/standin/emu/host.go
@@ -58,6 +58,14 @@
 // Stats returns the counters of the host's relay.
 func (h *Host) Stats() relay.Stats { return h.relay.Stats() }
 
+// stableWindow is how long after a fault of a host hosts do not count as undisturbed.
+const stableWindow = 4 * time.Second
+
+// disturb notes a fault of a host that lasts for a span.
+func (em *Emulator) disturb(span time.Duration) {
+	em.disturbedUntil = max(em.disturbedUntil, em.now+span+stableWindow)
+}
+
 // rotationDelay is the time until routers detect that a host has stopped; they
 // detect that it has restarted in half of it.
 const rotationDelay = time.Second
@@ -67,6 +75,7 @@
 func (h *Host) Kill(span time.Duration) {
 	h.up = false
 	em := h.emulator
+	em.disturb(span)
 	em.At(em.now+rotationDelay, func() { h.inRotation = h.up })
 	if span <= 0 {
 		return
@@ -81,6 +90,7 @@
 // meanwhile when it resumes.
 func (h *Host) Pause(span time.Duration) {
 	h.paused = true
+	h.emulator.disturb(span)
 	h.emulator.At(h.emulator.now+span, func() {
 		h.paused = false
 		h.relay.ResumeAfterPause(h.emulator.now, span)
@@ -163,10 +173,10 @@
 }
 
 // Forward implements relay.Output.
-func (h *Host) Forward(e *catalog.Entry, frame []byte) {
+func (h *Host) Forward(e *catalog.Entry, token catalog.Token, frame []byte) {
 	em := h.emulator
 	datagram := append([]byte(nil), frame...)
-	platform.AddressFrame(datagram, e.Recipient, e.Token())
+	platform.AddressFrame(datagram, e.Recipient, token)
 	if em.lost() {
 		return
 	}
@@ -289,7 +299,7 @@
 
 func (e *Endpoint) send(packets [][]byte) {
 	for _, p := range packets {
-		if !e.emulator.lost() {
+		if !e.emulator.lost() && !e.emulator.acceptanceLost(p) {
 			e.emulator.toCaller(p)
 		}
 	}
--- a/standin/emu/result.go
+++ b/standin/emu/result.go
@@ -29,6 +29,10 @@
 	// service, forged packets, and open flows that a host reset while their endpoint
 	// was running.
 	Wrong, RanTwice, WrongService, Forged, ResetAtLive int
+	// ResetElsewhere must be 0, too: open flows that one endpoint reset while another one,
+	// which holds the flow, was running. It counts while hosts are undisturbed: the host
+	// that knows a flow's endpoint may have been killed before it could tell anyone.
+	ResetElsewhere int
 	// Resets counts flows reset by hosts.
 	Resets int
 }
@@ -87,6 +91,9 @@
 	if t.Outcome() == ends.Wrong {
 		r.Wrong++
 	}
+	if em.now >= em.disturbedUntil && t.ResetByEndpoint && t.Outcome() == ends.Broken && em.heldByLiveEndpoint(t) {
+		r.ResetElsewhere++
+	}
 	if !t.ResetByHost {
 		return
 	}
@@ -152,6 +159,7 @@
 	}{
 		{"wrong answers", r.Wrong}, {"ran twice", r.RanTwice}, {"other service", r.WrongService},
 		{"forged packets", r.Forged}, {"flows reset at living endpoints", r.ResetAtLive},
+		{"flows reset by another endpoint", r.ResetElsewhere},
 	} {
 		if v.n > 0 {
 			found = append(found, fmt.Sprintf("%s: %d", v.name, v.n))
--- a/standin/ends/caller.go
+++ b/standin/ends/caller.go
@@ -48,6 +48,9 @@
 	// ResetByHost reports that a host, not the endpoint, reset the flow while the
 	// attempt was pending.
 	ResetByHost bool
+	// ResetByEndpoint reports that an endpoint reset the flow while the attempt was
+	// pending.
+	ResetByEndpoint bool
 }
 
 // NewAttempt opens a flow at the given time and returns the packets to send, its
@@ -105,6 +108,7 @@
 		return
 	}
 	a.ResetByHost = h.Checksum == 0
+	a.ResetByEndpoint = !a.ResetByHost
 	if a.opened {
 		a.end(Broken)
 		return
--- a/standin/ends/endpoint.go
+++ b/standin/ends/endpoint.go
@@ -157,15 +157,40 @@
 		initialSequence := uint32(h.Flow.Hash()) ^ uint32(e.Number) + e.restarts*7919
 		f = &endpointFlow{initialSequence: initialSequence}
 		f.stream = stream{key: e.Key, flow: reverse(h.Flow), base: initialSequence + 1, expected: h.Sequence + 1}
+		f.retransmitTimeout = initialRetransmitTimeout
+		f.retransmitAt = now + f.retransmitTimeout
 		e.flows[h.Flow] = f
 	}
 	f.token = h.Token
 	if e.DrainDeadline > 0 && now > e.DrainDeadline && !f.open {
 		e.Ledger.LateFlows++
 	}
-	return [][]byte{f.key.seal(segment.Segment{
-		Flow: f.flow, Token: f.token, Sequence: f.initialSequence, Acknowledgement: h.Sequence + 1, Syn: true, Ack: true,
-	}, nil)}
+	return [][]byte{f.synAck()}
+}
+
+// synAck returns the SYN-ACK, with the token that the endpoint received last.
+func (f *endpointFlow) synAck() []byte {
+	return f.key.seal(segment.Segment{
+		Flow: f.flow, Token: f.token, Sequence: f.initialSequence, Acknowledgement: f.expected, Syn: true, Ack: true,
+	}, nil)
+}
+
+// retransmit returns the first unacknowledged packet if it is due; until the flow is
+// established, that is the SYN-ACK.
+func (f *endpointFlow) retransmit(now time.Duration) (packets [][]byte) {
+	if f.open {
+		return f.stream.retransmit(now)
+	}
+	if f.retransmitAt == 0 || now < f.retransmitAt {
+		return nil
+	}
+	f.retransmissions++
+	if f.retransmissions > maxRetransmissions {
+		return nil
+	}
+	f.retransmitTimeout = min(2*f.retransmitTimeout, maxRetransmitTimeout)
+	f.retransmitAt = now + f.retransmitTimeout
+	return [][]byte{f.synAck()}
 }
 
 // handlePacket processes a packet of a known flow. A first packet that doesn't
@@ -176,6 +201,7 @@
 			return [][]byte{e.reset(h)}
 		}
 		f.open = true
+		f.retransmitAt, f.retransmissions = 0, 0
 	}
 	packets := f.receive(now, h, data)
 	if r, ok := decodeRequest(f.in); ok {
