relay: Limit searches for flows of dead endpoints to 20 a second

Cause: every unanswered packet that upholds a verdict searches the flow table, and copies of requests are such packets now: up to 50 searches a second for each dead endpoint with waiting requests. With 30,000 flows a host and a failed rack that is more than a core.

Change: one search for all dead endpoints, at most every 50 ms. Flows that it misses are reset with their next copy.

--- a/internal/relay/dead.go
+++ b/internal/relay/dead.go
@@ -19,15 +19,20 @@
 	}
 }
 
+// deadSearchInterval is the least time between searches of the flow table for flows of dead
+// endpoints, however many have ended together.
+const deadSearchInterval = 50 * time.Millisecond
+
 // recordUnanswered notes that an endpoint left a packet, sent at the given time,
-// unanswered, although its caller was waiting. If the endpoint now counts as dead, it
-// resets the flows for which it does.
+// unanswered, although its caller was waiting. If the endpoint now counts as dead, the
+// flows are reset that wait at one that does; those left are with their next copy.
 func (r *Relay) recordUnanswered(now time.Duration, e *balance.Endpoint, sent time.Duration) {
-	if r.lagging || !e.RecordUnanswered(sent) || e.Busy == 0 {
+	if r.lagging || !e.RecordUnanswered(sent) || e.Busy == 0 || now < r.deadSearchFrom {
 		return
 	}
+	r.deadSearchFrom = now + deadSearchInterval
 	for _, f := range r.flows {
-		if f.endpoint == e && f.state == stateOpen && r.endpointDead(f) {
+		if f.state == stateOpen && r.endpointDead(f) {
 			r.resetFlow(now, f, RejectDeadEndpoint)
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,6 +107,8 @@
 	domains     map[string]*domain
 	domainsFrom time.Duration
 	history     history
+	// deadSearchFrom is when the flow table may be searched for flows of dead endpoints.
+	deadSearchFrom time.Duration
 	// sizes holds the usual sizes of answers by route address; entries of removed
 	// routes are deleted.
 	sizes map[catalog.Address]*balance.AnswerSizes
