--- a/internal/relay/acceptance_test.go
+++ b/internal/relay/acceptance_test.go
@@ -116,3 +116,19 @@
 		require.Empty(t, r.takeCopies())
 	})
 }
+
+// TestLeavingHostLeavesHandshakesToOthers: routers move the flows of a host that is about to
+// stop, and another host gets the handshake ACK. A SYN that fails over then is accepted
+// twice, and no host knows which endpoint holds the flow.
+func TestLeavingHostLeavesHandshakesToOthers(t *testing.T) {
+	r := newHarness(t, 3)
+	first := r.place(1)
+	r.relay.LeaveRotation()
+	r.advance(200 * ms)
+	sent, _ := r.drain()
+	require.Empty(t, sent)
+	r.syn(1, 1)
+	sent, _ = r.drain()
+	require.Len(t, sent, 1, "a copy shows that the caller still waits, and comes here")
+	require.NotEqual(t, first, sent[0])
+}
