--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -198,6 +198,22 @@
 	return true
 }
 
+// PutAll writes the value at all keys in one transaction, as another writer does. It
+// returns false while the store is busy or silent.
+func (s *Store) PutAll(keys []string, value []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Busy || s.faults.Silent {
+		return false
+	}
+	s.revision++
+	for _, key := range keys {
+		s.write(platform.Put{Key: key, Value: value})
+	}
+	s.notify()
+	return true
+}
+
 // Remove deletes a key as the operator or an endpoint does. It returns false while the
 // store is busy or silent.
 func (s *Store) Remove(key string) bool {
