kv: Play small pages, hidden incarnations, deaf watches, cut and plain text responses

Change: faults that leave watches without a response and cut responses to reads; pages of a given size; responses without the incarnation; values that go out as plain text. Faults have a file of their own.

--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -16,8 +16,8 @@
 // historyLimit is the number of changes kept for watches.
 const historyLimit = 10_000
 
-// pageSize is the maximum number of items in a page of a listing.
-const pageSize = 500
+// defaultPageSize is the maximum number of items in a page of a listing.
+const defaultPageSize = 500
 
 // Store is an in-memory store. It is safe for concurrent use.
 type Store struct {
@@ -36,6 +36,11 @@
 	// oldest first.
 	incarnation uint64
 	copies      []copied
+	// hidesIncarnation, pageSize and texts are set by HideIncarnation, SetPageSize and
+	// PutText.
+	hidesIncarnation bool
+	pageSize         int
+	texts            map[string]string
 }
 
 // copied is a copy of the store's state.
@@ -60,18 +65,6 @@
 	end time.Time
 }
 
-// Faults selects the faults of the store.
-type Faults struct {
-	// Busy responds with status 503, Silent never responds, Slow delays each call;
-	// LoseWrites is the percentage of writes that are applied and get no response.
-	Busy       bool
-	Silent     bool
-	Slow       time.Duration
-	LoseWrites int
-	// Pause stops the expiry of leases, which otherwise continues during faults.
-	Pause bool
-}
-
 // New returns an empty store at revision 1.
 func New() *Store {
 	return &Store{
@@ -83,17 +76,11 @@
 		calls:     make(map[string]int),
 
 		incarnation: 1,
+		pageSize:    defaultPageSize,
+		texts:       make(map[string]string),
 	}
 }
 
-// SetFaults replaces the active faults; the zero value ends them.
-func (s *Store) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-	s.notify()
-}
-
 // Compact drops the history of changes, so that watches from an earlier revision
 // fail.
 func (s *Store) Compact() {
@@ -198,22 +185,6 @@
 	return true
 }
 
-// PutAll writes the value at all keys in one transaction, as another writer does. It
-// returns false while the store is busy or silent.
-func (s *Store) PutAll(keys []string, value []byte) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.Busy || s.faults.Silent {
-		return false
-	}
-	s.revision++
-	for _, key := range keys {
-		s.write(platform.Put{Key: key, Value: value})
-	}
-	s.notify()
-	return true
-}
-
 // Remove deletes a key as the operator or an endpoint does. It returns false while the
 // store is busy or silent.
 func (s *Store) Remove(key string) bool {
@@ -315,8 +286,8 @@
 		}
 	}
 	slices.Sort(keys)
-	page.More = len(keys) > pageSize
-	for _, key := range keys[:min(len(keys), pageSize)] {
+	page.More = len(keys) > s.pageSize
+	for _, key := range keys[:min(len(keys), s.pageSize)] {
 		page.Items = append(page.Items, s.items[key])
 	}
 	return page
--- a/standin/kv/serve.go
+++ b/standin/kv/serve.go
@@ -20,7 +20,7 @@
 // did not hold) or 503 (busy).
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// A response that is delayed across a restore is one of the former incarnation.
-	stateIncarnation(w, s.Incarnation())
+	s.stateIncarnation(w, s.Incarnation())
 	if !s.applyFaults(w, r) {
 		return
 	}
@@ -29,8 +29,8 @@
 	switch {
 	case path == "kv-range":
 		page := s.list(query.Get("Prefix"), query.Get("after"))
-		stateIncarnation(w, page.Incarnation)
-		reply(w, http.StatusOK, page)
+		s.stateIncarnation(w, page.Incarnation)
+		s.replyToRead(w, s.encodePage(page))
 	case path == "kv-watch":
 		s.watch(w, r)
 	case path == "kv-key":
@@ -48,8 +48,12 @@
 	}
 }
 
-// stateIncarnation sets the header that states the incarnation of a response.
-func stateIncarnation(w http.ResponseWriter, incarnation uint64) {
+// stateIncarnation sets the header that states the incarnation of a response, unless the
+// store hides it.
+func (s *Store) stateIncarnation(w http.ResponseWriter, incarnation uint64) {
+	if !s.StatesIncarnation() {
+		return
+	}
 	w.Header().Set("Store-Era", strconv.FormatUint(incarnation, 10))
 }
 
@@ -107,19 +111,23 @@
 	defer deadline.Stop()
 	for {
 		changes, next, compacted := s.since(query.Get("Prefix"), since)
-		stateIncarnation(w, changes.Incarnation)
+		s.stateIncarnation(w, changes.Incarnation)
+		if s.deaf() {
+			<-r.Context().Done()
+			return
+		}
 		if compacted {
 			reply(w, http.StatusGone, struct{}{})
 			return
 		}
 		if len(changes.Changes) > 0 {
-			reply(w, http.StatusOK, changes)
+			s.replyToRead(w, s.encodeChanges(changes))
 			return
 		}
 		select {
 		case <-next:
 		case <-deadline.C:
-			reply(w, http.StatusOK, changes)
+			s.replyToRead(w, s.encodeChanges(changes))
 			return
 		case <-r.Context().Done():
 			return
@@ -136,7 +144,7 @@
 		reply(w, http.StatusNotFound, struct{}{})
 		return
 	}
-	reply(w, http.StatusOK, item)
+	reply(w, http.StatusOK, s.encodeItem(item))
 }
 
 func (s *Store) transaction(w http.ResponseWriter, r *http.Request) {
