--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -6,7 +6,6 @@
 
 import (
 	"log/slog"
-	"slices"
 	"time"
 
 	"toucangap/internal/catalog"
@@ -53,15 +52,6 @@
 	Version uint64
 }
 
-// keyState is the last known state of a key.
-type keyState struct {
-	value    []byte
-	position catalog.Position
-	removed  bool
-	// removedAt is when the removal was received, on the monotonic clock.
-	removedAt time.Duration
-}
-
 // Replica is a host's copy of the store's keys and the state decoded from them. It
 // is not safe for concurrent use.
 type Replica struct {
@@ -211,36 +201,6 @@
 	return false
 }
 
-// removeUnlisted removes the keys that a complete listing did not contain. Keys
-// that are newer than the listing stay.
-func (r *Replica) removeUnlisted(now time.Duration, b Batch) (changed bool) {
-	for _, key := range r.unlisted(b) {
-		removal := platform.Change{
-			Item:    platform.Item{Key: key, Revision: b.Position.Revision, Incarnation: b.Position.Incarnation},
-			Removed: true,
-		}
-		if r.applyChange(now, &removal) {
-			changed = true
-		}
-	}
-	return changed
-}
-
-// unlisted returns the known keys that a complete listing does not contain and that
-// are not newer than it.
-func (r *Replica) unlisted(b Batch) (keys []string) {
-	listed := make(map[string]bool, len(b.Changes))
-	for i := range b.Changes {
-		listed[b.Changes[i].Key] = true
-	}
-	for key, item := range r.items {
-		if !listed[key] && !item.removed && !item.position.After(b.Position) {
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
-
 func (r *Replica) applyConfiguration(c *platform.Change) bool {
 	if c.Removed {
 		// Operators never withdraw a configuration, so the last one stays in
@@ -324,18 +284,6 @@
 // View returns an immutable view of the current state.
 func (r *Replica) View(now time.Duration) *catalog.View { return r.directory.View(now) }
 
-// Expire discards removals that are older than the history, and expired endpoints.
-// Its results are those of catalog.Directory.Expire.
-func (r *Replica) Expire(now time.Duration) (next time.Duration, changed bool) {
-	for key, item := range r.items {
-		if item.removed && now >= item.removedAt+r.history {
-			delete(r.items, key)
-			r.compacted = r.compacted.Max(item.position)
-		}
-	}
-	return r.directory.Expire(now)
-}
-
 // Progress returns how much of the store's state the replica has.
 func (r *Replica) Progress() Progress {
 	p := Progress{Position: r.directory.Position()}
@@ -351,39 +299,3 @@
 // AsOf returns the time as of which the replica is current, on the boot-time
 // clock.
 func (r *Replica) AsOf() time.Duration { return r.asOf }
-
-// Since returns what a peer with the given progress is missing. The batch is
-// complete, without removals, if the peer has no state of this incarnation of the
-// store or if a removal that it may be missing was discarded.
-func (r *Replica) Since(now time.Duration, peer Progress) Batch {
-	own := r.directory.Position()
-	b := Batch{
-		Complete: peer.Position.IsZero() || peer.Position.Incarnation != own.Incarnation ||
-			r.compacted.After(peer.Position),
-		Position:      own,
-		AsOf:          r.asOf,
-		RecoveryGrace: r.directory.RecoveryGraceLeft(now),
-	}
-	for key, item := range r.items {
-		if b.Complete && item.removed || !b.Complete && !item.position.After(peer.Position) {
-			continue
-		}
-		b.Changes = append(b.Changes, platform.Change{
-			Item: platform.Item{
-				Key: key, Value: item.value, Revision: item.position.Revision, Incarnation: item.position.Incarnation,
-			},
-			Removed: item.removed,
-		})
-	}
-	b.Version = r.Progress().Version
-	if b.Version > peer.Version && !containsChange(b.Changes, &r.inForce) {
-		b.Changes = append(b.Changes, r.inForce)
-	}
-	return b
-}
-
-func containsChange(list []platform.Change, c *platform.Change) bool {
-	return slices.ContainsFunc(list, func(other platform.Change) bool {
-		return other.Key == c.Key && other.Position() == c.Position()
-	})
-}
