follow: Accept what a complete state holds and the replica lacks

Cause: a change of an unknown key at or before compacted was ignored, since the key's removal may be among the discarded ones. compacted is also the position of the last complete batch, so that a key which that batch lacked was ignored in every later listing, with the entry of an endpoint as with the shared secret.

Change: a complete batch from after all discarded removals is the last word on unknown keys. One line (event 9035) tells that keys had been missing, which a correct source never causes.

TestListingFillsAHole failed before (no endpoint, no secret) and passes; TestLateListingBringsNothingBack guards the other direction and passed before as well.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -95,6 +95,11 @@
 	EvacuationRemoved
 )
 
+// Events of the follower area on what its state lacks.
+const (
+	MissingKeysFound ID = 9035 + iota
+)
+
 var followerArea = Area{
 	Name: "follower",
 	Definitions: []Definition{
@@ -126,5 +131,6 @@
 		{FeedBufferUnlimited, slog.LevelWarn, "send buffer of a feed could not be limited", "None on a fast link; on a slow one, changes may come late while a large configuration is sent."},
 		{DomainEvacuated, slog.LevelInfo, "failure domain evacuated; its endpoints get no new flows", "None; open flows end by themselves."},
 		{EvacuationRemoved, slog.LevelInfo, "evacuation of a failure domain removed", "None; with held_for above 0 it stays in force for that long, since the store may have lost it."},
+		{MissingKeysFound, slog.LevelWarn, "state that counted as complete lacked keys; a complete state has brought them", "Find out by the lines before it which host or listing brought the state without them."},
 	},
 }
--- a/internal/follow/items.go
+++ b/internal/follow/items.go
@@ -1,9 +1,11 @@
 package follow
 
 import (
+	"log/slog"
 	"time"
 
 	"toucangap/internal/catalog"
+	"toucangap/internal/event"
 	"toucangap/platform"
 )
 
@@ -16,6 +18,35 @@
 	removedAt time.Duration
 }
 
+// outdated reports whether a change says nothing new of its key. An unknown key's removal may
+// be among the discarded ones, so a change that is no newer than those is outdated, unless it
+// is part of a complete batch from after all of them: the key exists there, and it is the
+// replica that has missed it.
+func (r *Replica) outdated(c *platform.Change) bool {
+	old, known := r.items[c.Key]
+	if known {
+		return !c.Position().After(old.position)
+	}
+	if c.Position().After(r.compacted) {
+		return false
+	}
+	if c.Removed || r.stated.IsZero() || r.compacted.After(r.stated) {
+		return true
+	}
+	r.found = append(r.found, c.Key)
+	return false
+}
+
+// logFound logs the keys that were missing although the state counted as complete. One line
+// with the first key is enough to find the source that left them out.
+func (r *Replica) logFound() {
+	if len(r.found) > 0 {
+		event.Log(r.logger, event.MissingKeysFound, slog.Int("keys", len(r.found)), slog.String("first", r.found[0]),
+			logPosition(r.directory.Position()))
+	}
+	r.found = nil
+}
+
 // removeUnlisted removes the keys that a complete listing did not contain. Keys
 // that are newer than the listing stay.
 func (r *Replica) removeUnlisted(now time.Duration, b Batch) (changed bool) {
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -77,6 +77,10 @@
 	history time.Duration
 	// listing is set while a listing or a part of one is applied.
 	listing bool
+	// stated is the position of the complete batch that is being applied, else zero. found
+	// collects the keys that it has shown to be missing.
+	stated catalog.Position
+	found  []string
 	// restores counts the incarnations of the store after the first.
 	restores int64
 }
@@ -133,8 +137,12 @@
 // start.
 func (r *Replica) applyListing(now time.Duration, b Batch) (changed bool) {
 	r.listing = true
+	if b.Complete {
+		r.stated = b.Position
+	}
 	changed = r.applyChanges(now, b.Changes)
-	r.listing = false
+	r.listing, r.stated = false, catalog.Position{}
+	r.logFound()
 	endpoints, draining := r.directory.Count()
 	event.Log(r.logger, event.StateReceived, logPosition(b.Position), slog.Bool("complete", b.Complete),
 		slog.Int("endpoints", endpoints), slog.Int("draining", draining), slog.Int("hosts", len(r.hosts)))
@@ -174,15 +182,12 @@
 // applyChange applies a change unless a newer one of its key is known.
 func (r *Replica) applyChange(now time.Duration, c *platform.Change) bool {
 	kind, name := platform.Classify(c.Key)
-	old, known := r.items[c.Key]
-	position := c.Position()
-	if known && !position.After(old.position) || !known && !position.After(r.compacted) {
-		// An unknown key's removal may be among the discarded ones, so a change that
-		// is no newer than those is ignored. A configuration may come from a host
-		// that knows a later version than a restored store.
+	if r.outdated(c) {
+		// A configuration may come from a host that knows a later version than a
+		// restored store.
 		return kind == platform.KindConfiguration && !c.Removed && r.applyConfiguration(c)
 	}
-	r.items[c.Key] = keyState{value: c.Value, position: position, removed: c.Removed, removedAt: now}
+	r.items[c.Key] = keyState{value: c.Value, position: c.Position(), removed: c.Removed, removedAt: now}
 	switch kind {
 	case platform.KindConfiguration:
 		return r.applyConfiguration(c)
