follow: Say of a state that withholds the secret that it does

Cause: a feed leaves the secret out of what it sends to a client that has proved nothing. The client's replica took such a complete state for one in which the secret does not exist: it recorded its removal, and ignored the secret's change in a later watch or listing.

Change: the client knows whether it has sent a proof, and names the secret as withheld in the batch, also beside servers of the former build (no message changes). A replica removes no key that is withheld, and keeps for it the position up to which its removals may be missing.

TestWithheldSecretIsNotRemoved and TestWithheldSecretIsLearnedFromAWatch failed before.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -191,6 +191,9 @@
 	if err != nil {
 		return err
 	}
+	if len(c.Secret) == 0 {
+		batch.Withheld = []string{platform.SecretKey}
+	}
 	c.OnBatch(batch)
 	if c.Exchange != nil && !inParts {
 		c.Exchange.Receive(peer, decodeReports(update.Sightings))
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -106,12 +106,15 @@
 }
 
 // TestUnauthenticatedClientGetsNoSecret checks that a host that starts without
-// the secret gets everything else.
+// the secret gets everything else, and knows that the secret is left out.
 func TestUnauthenticatedClientGetsNoSecret(t *testing.T) {
 	source := newSource(0)
 	peer := serveOn(t, source, clockAt(0))
 	batch, _ := firstBatch(t, peer, Client{MaxAge: time.Minute, BootTime: clockAt(0)})
 	require.Equal(t, source.batch.Changes[1:], batch.Changes)
+	require.Equal(t, []string{platform.SecretKey}, batch.Withheld)
+	batch, _ = firstBatch(t, peer, Client{Secret: source.secret, MaxAge: time.Minute, BootTime: clockAt(0)})
+	require.Empty(t, batch.Withheld)
 }
 
 func TestBothEndsAuthenticate(t *testing.T) {
--- a/internal/follow/holes_test.go
+++ b/internal/follow/holes_test.go
@@ -37,3 +37,37 @@
 		require.Empty(t, availableIDs(r.View(now)))
 	}
 }
+
+// TestWithheldSecretIsNotRemoved: a host asks another one for a later configuration without a
+// proof, and gets a complete state without the secret. The secret that it has read from the
+// store counts as removed, and hosts that it feeds never get it.
+func TestWithheldSecretIsNotRemoved(t *testing.T) {
+	r := newTestReplica()
+	r.Apply(0, Batch{Complete: true, Position: at(5), Changes: []platform.Change{configurationAt(2, 1), put(platform.SecretKey, 3, "one")}})
+	r.Apply(0, Batch{Complete: true, Position: at(9), Changes: []platform.Change{configurationAt(2, 1)}, Withheld: []string{platform.SecretKey}})
+	_, stored := r.Secret()
+	require.True(t, stored)
+	require.Contains(t, changedKeys(r.Since(0, Progress{})), platform.SecretKey)
+}
+
+// TestWithheldSecretIsLearnedFromAWatch: a state without the secret came between two watches,
+// the second of which holds the secret with a revision from before that state.
+func TestWithheldSecretIsLearnedFromAWatch(t *testing.T) {
+	r := newTestReplica()
+	r.Apply(0, Batch{Complete: true, Position: at(5), Changes: []platform.Change{configurationAt(2, 1)}})
+	r.Apply(0, Batch{Complete: true, Position: at(9), Changes: []platform.Change{configurationAt(2, 1)}, Withheld: []string{platform.SecretKey}})
+	r.Apply(0, Batch{Position: at(10), Changes: []platform.Change{put(platform.SecretKey, 7, "one")}})
+	secret, stored := r.Secret()
+	require.Equal(t, "one", string(secret))
+	require.True(t, stored)
+	r.Apply(0, Batch{Position: at(10), Changes: []platform.Change{put(platform.SecretKey, 4, "outdated")}})
+	secret, _ = r.Secret()
+	require.Equal(t, "one", string(secret))
+}
+
+func changedKeys(b Batch) (keys []string) {
+	for i := range b.Changes {
+		keys = append(keys, b.Changes[i].Key)
+	}
+	return keys
+}
--- a/internal/follow/items.go
+++ b/internal/follow/items.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"toucangap/internal/catalog"
@@ -27,16 +28,51 @@
 	if known {
 		return !c.Position().After(old.position)
 	}
-	if c.Position().After(r.compacted) {
+	compacted := r.compactedOf(c.Key)
+	if c.Position().After(compacted) {
 		return false
 	}
-	if c.Removed || r.stated.IsZero() || r.compacted.After(r.stated) {
+	if c.Removed || r.stated.IsZero() || compacted.After(r.stated) {
 		return true
 	}
 	r.found = append(r.found, c.Key)
 	return false
 }
 
+// compactedOf returns the position up to which a removal of the key may be missing from items.
+func (r *Replica) compactedOf(key string) catalog.Position {
+	if position, withheld := r.compactedKeys[key]; withheld {
+		return position
+	}
+	return r.compacted
+}
+
+// compactUpTo records a complete batch: removals of keys that this host never knew are not
+// among its items. The batch says nothing of the keys that it withholds.
+func (r *Replica) compactUpTo(b Batch) {
+	for _, key := range b.Withheld {
+		r.compactedKeys[key] = r.compactedOf(key)
+	}
+	r.compacted = r.compacted.Max(b.Position)
+	for key, position := range r.compactedKeys {
+		if slices.Contains(b.Withheld, key) {
+			continue
+		}
+		if r.compactedKeys[key] = position.Max(b.Position); r.compactedKeys[key] == r.compacted {
+			delete(r.compactedKeys, key)
+		}
+	}
+}
+
+// discard discards the removal of a key.
+func (r *Replica) discard(key string, item keyState) {
+	delete(r.items, key)
+	r.compacted = r.compacted.Max(item.position)
+	if position, withheld := r.compactedKeys[key]; withheld {
+		r.compactedKeys[key] = position.Max(item.position)
+	}
+}
+
 // logFound logs the keys that were missing although the state counted as complete. One line
 // with the first key is enough to find the source that left them out.
 func (r *Replica) logFound() {
@@ -62,10 +98,13 @@
 	return changed
 }
 
-// unlisted returns the known keys that a complete listing does not contain and that
-// are not newer than it.
+// unlisted returns the known keys that a complete listing neither contains nor withholds
+// and that are not newer than it.
 func (r *Replica) unlisted(b Batch) (keys []string) {
-	listed := make(map[string]bool, len(b.Changes))
+	listed := make(map[string]bool, len(b.Changes)+len(b.Withheld))
+	for _, key := range b.Withheld {
+		listed[key] = true
+	}
 	for i := range b.Changes {
 		listed[b.Changes[i].Key] = true
 	}
@@ -82,8 +121,7 @@
 func (r *Replica) Expire(now time.Duration) (next time.Duration, changed bool) {
 	for key, item := range r.items {
 		if item.removed && now >= item.removedAt+r.history {
-			delete(r.items, key)
-			r.compacted = r.compacted.Max(item.position)
+			r.discard(key, item)
 		}
 	}
 	return r.directory.Expire(now)
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -27,6 +27,9 @@
 	// says nothing of how far the state is complete or current.
 	Partial bool
 	Changes []platform.Change
+	// Withheld holds keys that the source leaves out. The batch says nothing about them,
+	// whether it is complete or not.
+	Withheld []string
 	// Later holds the changes after Position that were made while a slow listing
 	// was read.
 	Later []platform.Change
@@ -73,6 +76,9 @@
 	// compacted is the position up to which removals may be missing from items: they
 	// were discarded, or made before a listing.
 	compacted catalog.Position
+	// compactedKeys holds that position for keys that a source has withheld: what it brought
+	// says nothing about them.
+	compactedKeys map[string]catalog.Position
 	// history is how long removals are kept.
 	history time.Duration
 	// listing is set while a listing or a part of one is applied.
@@ -96,6 +102,8 @@
 		hosts:     make(map[string]Host),
 		absences:  make(map[string]absence),
 		history:   history,
+
+		compactedKeys: make(map[string]catalog.Position),
 	}
 }
 
@@ -152,8 +160,7 @@
 	if r.removeUnlisted(now, b) {
 		changed = true
 	}
-	// Removals of keys that this host never knew are not among its items.
-	r.compacted = r.compacted.Max(b.Position)
+	r.compactUpTo(b)
 	return changed
 }
 
