follow: Keep removals that are ahead of the state

Cause: a partial batch may bring a removal from after the position up to which the state is complete.

Change: a removal is discarded only once the state is complete up to it.

TestRemovalsAheadOfTheStateAreKept failed before: i-2 was ignored.

--- a/internal/follow/holes_test.go
+++ b/internal/follow/holes_test.go
@@ -71,3 +71,19 @@
 	}
 	return keys
 }
+
+// TestRemovalsAheadOfTheStateAreKept: a starting host reads a long listing, or a feed sends a
+// large update, for longer than removals are kept; a removal went ahead of it. The rest must
+// bring neither the removed endpoint back, nor be ignored where it is older than the removal.
+func TestRemovalsAheadOfTheStateAreKept(t *testing.T) {
+	r := newTestReplica()
+	r.Apply(0, Batch{Complete: true, Position: at(2), Changes: []platform.Change{configurationAt(1, 1)}})
+	r.Apply(0, Batch{Partial: true, Position: at(0), Changes: []platform.Change{removal(platformtest.EndpointKey("i-1"), 9)}})
+	r.Expire(testHistory)
+	later := Batch{Position: at(8), Changes: []platform.Change{entryAt("i-1", 3, "ready"), entryAt("i-2", 4, "ready")}}
+	r.Apply(testHistory, later)
+	require.Equal(t, []string{"i-2"}, availableIDs(r.View(testHistory)))
+	r.Apply(testHistory, Batch{Position: at(9)})
+	r.Expire(testHistory)
+	require.NotContains(t, r.items, platformtest.EndpointKey("i-1"), "it is not kept for longer")
+}
--- a/internal/follow/items.go
+++ b/internal/follow/items.go
@@ -116,11 +116,14 @@
 	return keys
 }
 
-// Expire discards removals that are older than the history, and expired endpoints.
+// Expire discards removals that are older than the history, and expired endpoints. Removals
+// that are ahead of the position up to which the state is complete are kept: without them,
+// older changes that are still on their way would be ignored with those of the removed keys.
 // Its results are those of catalog.Directory.Expire.
 func (r *Replica) Expire(now time.Duration) (next time.Duration, changed bool) {
+	own := r.directory.Position()
 	for key, item := range r.items {
-		if item.removed && now >= item.removedAt+r.history {
+		if item.removed && now >= item.removedAt+r.history && !item.position.After(own) {
 			r.discard(key, item)
 		}
 	}
