follow: Undo a removal that no source has reported

Cause: a key that a complete batch lacks counts as removed at the batch's position. If the batch was of a host whose state had a hole, for instance one of the former build, every later listing that held the key unchanged was ignored for its lower revision.

Change: removals that were only inferred give way to a complete batch from after them. Removals that a source has reported stay.

--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -44,6 +44,13 @@
 	return d.endIfDue(now, domain, e)
 }
 
+// ForgetEvacuationEnd is ForgetRemoval for the request to evacuate a failure domain.
+func (d *Directory) ForgetEvacuationEnd(domain string) {
+	if e := d.evacuations[domain]; e != nil && e.removed {
+		e.position.Revision = 0
+	}
+}
+
 // endEvacuations ends the evacuations that are due. It returns when the next one is, 0
 // if none is, and whether one has ended.
 func (d *Directory) endEvacuations(now time.Duration) (next time.Duration, ended bool) {
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -221,6 +221,14 @@
 	return true
 }
 
+// ForgetRemoval makes way for the endpoint's entry from before its removal: the endpoint was
+// missing in a state that was incomplete, and was never removed.
+func (d *Directory) ForgetRemoval(id string) {
+	if e := d.entries[id]; e != nil && e.removed {
+		e.Position.Revision = 0
+	}
+}
+
 // Advance records that the directory is complete up to the position.
 func (d *Directory) Advance(position Position) { d.position = d.position.Max(position) }
 
--- a/internal/follow/holes_test.go
+++ b/internal/follow/holes_test.go
@@ -87,3 +87,37 @@
 	r.Expire(testHistory)
 	require.NotContains(t, r.items, platformtest.EndpointKey("i-1"), "it is not kept for longer")
 }
+
+// TestListingUndoesAWrongRemoval: another host's complete state lacks an endpoint and an
+// evacuation that exist, and so they count as removed. The store's listing holds them
+// unchanged, by revisions from before that state.
+func TestListingUndoesAWrongRemoval(t *testing.T) {
+	whole := []platform.Change{
+		configurationAt(1, 1), entryAt("i-1", 3, "ready"), entryAt("i-2", 4, "ready"),
+		put(platformtest.EvacuationKey("e"), 5, ""), put(platform.SecretKey, 2, "one"),
+	}
+	for _, after := range []time.Duration{0, testHistory} {
+		r := newTestReplica()
+		r.Apply(0, Batch{Complete: true, Position: at(5), Changes: whole})
+		r.Apply(0, Batch{Complete: true, Position: at(7), Changes: whole[:2]})
+		require.Equal(t, []string{"i-1"}, availableIDs(r.View(0)))
+		r.Expire(after)
+		require.True(t, r.Apply(after, Batch{Complete: true, Position: at(9), Changes: whole}))
+		require.Equal(t, []string{"i-1", "i-2"}, availableIDs(r.View(after)), "%s later", after)
+		require.Equal(t, []string{"e"}, r.View(after).EvacuatedDomains(), "%s later", after)
+		_, stored := r.Secret()
+		require.True(t, stored)
+	}
+}
+
+// TestReportedRemovalsStay: the store has reported a removal. A complete state of another host
+// that has missed it brings the endpoint back.
+func TestReportedRemovalsStay(t *testing.T) {
+	r := newTestReplica()
+	whole := []platform.Change{configurationAt(1, 1), entryAt("i-1", 3, "ready")}
+	r.Apply(0, Batch{Complete: true, Position: at(5), Changes: whole})
+	r.Apply(0, Batch{Position: at(6), Changes: []platform.Change{removal(platformtest.EndpointKey("i-1"), 6)}})
+	r.Apply(0, Batch{Complete: true, Position: at(7), Changes: whole[:1]})
+	r.Apply(0, Batch{Complete: true, Position: at(9), Changes: whole})
+	require.Empty(t, availableIDs(r.View(0)))
+}
--- a/internal/follow/items.go
+++ b/internal/follow/items.go
@@ -15,28 +15,48 @@
 	value    []byte
 	position catalog.Position
 	removed  bool
+	// inferred means that no source has reported the removal: the key was missing in a
+	// complete batch.
+	inferred bool
 	// removedAt is when the removal was received, on the monotonic clock.
 	removedAt time.Duration
 }
 
-// outdated reports whether a change says nothing new of its key. An unknown key's removal may
-// be among the discarded ones, so a change that is no newer than those is outdated, unless it
-// is part of a complete batch from after all of them: the key exists there, and it is the
-// replica that has missed it.
+// outdated reports whether a change says nothing new of its key. A change that is no newer
+// than the key's last known one is outdated, and so is one of an unknown key that is no newer
+// than the discarded removals, which may have removed it. A complete batch is the last word on
+// what exists, though, if it is from after those removals or from after the state whose lack
+// of the key counts as its removal: the replica has missed the key then.
 func (r *Replica) outdated(c *platform.Change) bool {
-	old, known := r.items[c.Key]
-	if known {
-		return !c.Position().After(old.position)
-	}
-	compacted := r.compactedOf(c.Key)
-	if c.Position().After(compacted) {
+	last, reported := r.lastKnown(c.Key)
+	if c.Position().After(last) {
 		return false
 	}
-	if c.Removed || r.stated.IsZero() || compacted.After(r.stated) {
-		return true
+	return reported || c.Removed || r.stated.IsZero() || last.After(r.stated)
+}
+
+// lastKnown returns the position up to which changes of the key are known, and whether a
+// source has reported the change there.
+func (r *Replica) lastKnown(key string) (last catalog.Position, reported bool) {
+	if item, known := r.items[key]; known {
+		return item.position, !item.inferred
+	}
+	return r.compactedOf(key), false
+}
+
+// recordIfMissed records that the replica has missed a key, if the change that is about to be
+// applied is older than what counted as its removal, and makes way for it.
+func (r *Replica) recordIfMissed(kind platform.Kind, name string, c *platform.Change) {
+	if last, _ := r.lastKnown(c.Key); c.Position().After(last) {
+		return
 	}
 	r.found = append(r.found, c.Key)
-	return false
+	switch kind {
+	case platform.KindEndpoint:
+		r.directory.ForgetRemoval(name)
+	case platform.KindEvacuation:
+		r.directory.ForgetEvacuationEnd(name)
+	}
 }
 
 // compactedOf returns the position up to which a removal of the key may be missing from items.
@@ -94,6 +114,10 @@
 		if r.applyChange(now, &removal) {
 			changed = true
 		}
+		if item := r.items[key]; item.removed {
+			item.inferred = true
+			r.items[key] = item
+		}
 	}
 	return changed
 }
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -194,6 +194,7 @@
 		// restored store.
 		return kind == platform.KindConfiguration && !c.Removed && r.applyConfiguration(c)
 	}
+	r.recordIfMissed(kind, name, c)
 	r.items[c.Key] = keyState{value: c.Value, position: c.Position(), removed: c.Removed, removedAt: now}
 	switch kind {
 	case platform.KindConfiguration:
