follow: Keep no large values that the product has no use for

Cause: a replica kept every value in full, also an entry that it can't decode and keys of unknown kind, and put them into each complete state. Four of 1 MB exceed what an update of a feed may hold, so that no new host could be fed, and a restore ended all feeds at their first update.

Change: a value above 2 KB of which the product uses at most the key's existence is kept and passed on as an empty one, which hosts of this and of the former build judge alike. A configuration stays whole: there is one, and a later build may read it.

TestUnusableValuesAreNotPassedOn failed before (5,243,123 bytes of values in a complete state).

--- a/internal/follow/hosts.go
+++ b/internal/follow/hosts.go
@@ -48,6 +48,7 @@
 	var h Host
 	if err := json.Unmarshal(c.Value, &h); err != nil || h.Name != name || !h.Feed.IsValid() {
 		event.Log(r.logger, event.EntryInvalid, slog.String("host", name), logPosition(c.Position()))
+		r.dropUnusable(c.Key)
 		if old, ok := r.hosts[name]; ok {
 			delete(r.hosts, name)
 			r.registry.Remove(now, old.coldstartHost())
--- a/internal/follow/items.go
+++ b/internal/follow/items.go
@@ -22,6 +22,21 @@
 	removedAt time.Duration
 }
 
+// maxUnusableValue is the size up to which a value that this build has no use for is kept: a
+// later build, which this host may feed, may have one. Other writers may store 1 MB under any
+// number of keys.
+const maxUnusableValue = 2 << 10
+
+// dropUnusable discards a large value of which this build uses at most the key's existence.
+// Keys and positions are kept. To all builds, an empty value is an entry that can't be read, as
+// the large one is, or an evacuation, which every value is.
+func (r *Replica) dropUnusable(key string) {
+	if item := r.items[key]; len(item.value) > maxUnusableValue {
+		item.value = nil
+		r.items[key] = item
+	}
+}
+
 // outdated reports whether a change says nothing new of its key. A change that is no newer
 // than the key's last known one is outdated, and so is one of an unknown key that is no newer
 // than the discarded removals, which may have removed it. A complete batch is the last word on
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -202,7 +202,10 @@
 	case platform.KindEndpoint:
 		return r.applyEndpoint(now, name, c)
 	case platform.KindEvacuation:
+		r.dropUnusable(c.Key)
 		return r.applyEvacuation(now, name, c)
+	case platform.KindOther:
+		r.dropUnusable(c.Key)
 	case platform.KindHost:
 		r.applyHost(now, name, c)
 	case platform.KindSecret:
@@ -255,6 +258,7 @@
 	if err != nil {
 		event.Log(r.logger, event.EntryInvalid, slog.String("endpoint", id),
 			logPosition(c.Position()), slog.String("error", err.Error()))
+		r.dropUnusable(c.Key)
 		return r.directory.RemoveEndpoint(now, id, c.Position())
 	}
 	if !r.listing {
