feed: Let a complete state in parts exceed the size of a message

Cause: an update in parts was limited to 4 MB like a single message. A complete state is larger from some 16,000 endpoints on; a host that can't reach the store then got none from its peers, and all feeds ended at a restore of the store.

Change: the limit of an update in parts is 64 MB, that of a message and of a value stays. The server holds the encoding once for each client that it is being sent to, as before.

TestLargeCompleteStateArrives failed before: update of the feed is too large.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -34,8 +34,11 @@
 	dialTimeout = 400 * time.Millisecond
 	// nonceBytes is the size of the random challenges.
 	nonceBytes = 16
-	// maxMessageBytes fits a complete state with a configuration of 1 MB.
+	// maxMessageBytes bounds a message, and a value in it. A configuration has at most 1 MB.
 	maxMessageBytes = 4 << 20
+	// maxUpdateBytes bounds an update in parts. A complete state with 120,000 endpoints takes
+	// 21 MB with entries of 142 bytes.
+	maxUpdateBytes = 64 << 20
 )
 
 // Reasons for closing a connection.
--- a/internal/feed/parts.go
+++ b/internal/feed/parts.go
@@ -9,8 +9,7 @@
 	"toucangap/internal/feed/feedpb"
 )
 
-// errTooLarge means that an update in parts or a compressed value exceeds the size of a
-// message.
+// errTooLarge means that an update in parts or a compressed value exceeds its limit.
 var errTooLarge = merry.Sentinel("update of the feed is too large")
 
 // parts joins the parts of a large update.
@@ -29,7 +28,7 @@
 	if !p.begun() {
 		p.begunAt = time.Now().Add(-took)
 	}
-	if len(p.encoded)+len(part.Part) > maxMessageBytes {
+	if len(p.encoded)+len(part.Part) > maxUpdateBytes {
 		return nil, 0, errTooLarge
 	}
 	p.encoded = append(p.encoded, part.Part...)
--- a/internal/feed/transfer_test.go
+++ b/internal/feed/transfer_test.go
@@ -342,3 +342,16 @@
 		time.Sleep(timings.SilenceTimeout)
 	})
 }
+
+// TestLargeCompleteStateArrives: the entries of 20,000 endpoints exceed the size of a message.
+// A host that can't reach the store gets no state if a complete one may not be larger.
+func TestLargeCompleteStateArrives(t *testing.T) {
+	source := newSource(0)
+	source.batch.Changes = nil
+	value := randomBytes(250)
+	for n := range uint64(20_000) {
+		source.batch.Changes = append(source.batch.Changes, changeOf(n, value))
+	}
+	batch, err := firstBatch(t, serveOn(t, source, clockAt(0)), Client{Secret: source.secret, MaxAge: time.Minute, BootTime: clockAt(0)})
+	require.Len(t, batch.Changes, 20_000, "%v", err)
+}
