feed: Never take an update for one of the future

Cause: the replica keeps the latest time as of which it was current. One update by which that time lies ahead, from a peer that states a wrong age, made the state look current for as long, so that age limits, the metric and the search for another source were off.

Change: the client takes the present as the limit.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -185,7 +185,8 @@
 	c.Progress.Position.Incarnation = update.Incarnation
 	var asOf time.Duration
 	if !update.Partial {
-		asOf = currentAsOf(update)
+		// A peer that states a wrong age must not make the state look current for longer.
+		asOf = min(currentAsOf(update), c.BootTime())
 	}
 	batch, err := batchFrom(update, asOf)
 	if err != nil {
