--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -185,12 +185,16 @@
 	c.Progress.Position.Incarnation = update.Incarnation
 	var asOf time.Duration
 	if !update.Partial {
-		asOf = currentAsOf(update)
+		// A peer that states a wrong age must not make the state look current for longer.
+		asOf = min(currentAsOf(update), c.BootTime())
 	}
 	batch, err := batchFrom(update, asOf)
 	if err != nil {
 		return err
 	}
+	if len(c.Secret) == 0 {
+		batch.Withheld = []string{platform.SecretKey}
+	}
 	c.OnBatch(batch)
 	if c.Exchange != nil && !inParts {
 		c.Exchange.Receive(peer, decodeReports(update.Sightings))
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -6,7 +6,6 @@
 
 import (
 	"log/slog"
-	"slices"
 	"time"
 
 	"toucangap/internal/catalog"
@@ -28,6 +27,9 @@
 	// says nothing of how far the state is complete or current.
 	Partial bool
 	Changes []platform.Change
+	// Withheld holds keys that the source leaves out. The batch says nothing about them,
+	// whether it is complete or not.
+	Withheld []string
 	// Later holds the changes after Position that were made while a slow listing
 	// was read.
 	Later []platform.Change
@@ -53,15 +55,6 @@
 	Version uint64
 }
 
-// keyState is the last known state of a key.
-type keyState struct {
-	value    []byte
-	position catalog.Position
-	removed  bool
-	// removedAt is when the removal was received, on the monotonic clock.
-	removedAt time.Duration
-}
-
 // Replica is a host's copy of the store's keys and the state decoded from them. It
 // is not safe for concurrent use.
 type Replica struct {
@@ -83,10 +76,17 @@
 	// compacted is the position up to which removals may be missing from items: they
 	// were discarded, or made before a listing.
 	compacted catalog.Position
+	// compactedKeys holds that position for keys that a source has withheld: what it brought
+	// says nothing about them.
+	compactedKeys map[string]catalog.Position
 	// history is how long removals are kept.
 	history time.Duration
 	// listing is set while a listing or a part of one is applied.
 	listing bool
+	// stated is the position of the complete batch that is being applied, else zero. found
+	// collects the keys that it has shown to be missing.
+	stated catalog.Position
+	found  []string
 	// restores counts the incarnations of the store after the first.
 	restores int64
 }
@@ -102,6 +102,8 @@
 		hosts:     make(map[string]Host),
 		absences:  make(map[string]absence),
 		history:   history,
+
+		compactedKeys: make(map[string]catalog.Position),
 	}
 }
 
@@ -143,8 +145,12 @@
 // start.
 func (r *Replica) applyListing(now time.Duration, b Batch) (changed bool) {
 	r.listing = true
+	if b.Complete {
+		r.stated = b.Position
+	}
 	changed = r.applyChanges(now, b.Changes)
-	r.listing = false
+	r.listing, r.stated = false, catalog.Position{}
+	r.logFound()
 	endpoints, draining := r.directory.Count()
 	event.Log(r.logger, event.StateReceived, logPosition(b.Position), slog.Bool("complete", b.Complete),
 		slog.Int("endpoints", endpoints), slog.Int("draining", draining), slog.Int("hosts", len(r.hosts)))
@@ -154,8 +160,7 @@
 	if r.removeUnlisted(now, b) {
 		changed = true
 	}
-	// Removals of keys that this host never knew are not among its items.
-	r.compacted = r.compacted.Max(b.Position)
+	r.compactUpTo(b)
 	return changed
 }
 
@@ -184,22 +189,23 @@
 // applyChange applies a change unless a newer one of its key is known.
 func (r *Replica) applyChange(now time.Duration, c *platform.Change) bool {
 	kind, name := platform.Classify(c.Key)
-	old, known := r.items[c.Key]
-	position := c.Position()
-	if known && !position.After(old.position) || !known && !position.After(r.compacted) {
-		// An unknown key's removal may be among the discarded ones, so a change that
-		// is no newer than those is ignored. A configuration may come from a host
-		// that knows a later version than a restored store.
+	if r.outdated(c) {
+		// A configuration may come from a host that knows a later version than a
+		// restored store.
 		return kind == platform.KindConfiguration && !c.Removed && r.applyConfiguration(c)
 	}
-	r.items[c.Key] = keyState{value: c.Value, position: position, removed: c.Removed, removedAt: now}
+	r.recordIfMissed(kind, name, c)
+	r.items[c.Key] = keyState{value: c.Value, position: c.Position(), removed: c.Removed, removedAt: now}
 	switch kind {
 	case platform.KindConfiguration:
 		return r.applyConfiguration(c)
 	case platform.KindEndpoint:
 		return r.applyEndpoint(now, name, c)
 	case platform.KindEvacuation:
+		r.dropUnusable(c.Key)
 		return r.applyEvacuation(now, name, c)
+	case platform.KindOther:
+		r.dropUnusable(c.Key)
 	case platform.KindHost:
 		r.applyHost(now, name, c)
 	case platform.KindSecret:
@@ -211,36 +217,6 @@
 	return false
 }
 
-// removeUnlisted removes the keys that a complete listing did not contain. Keys
-// that are newer than the listing stay.
-func (r *Replica) removeUnlisted(now time.Duration, b Batch) (changed bool) {
-	for _, key := range r.unlisted(b) {
-		removal := platform.Change{
-			Item:    platform.Item{Key: key, Revision: b.Position.Revision, Incarnation: b.Position.Incarnation},
-			Removed: true,
-		}
-		if r.applyChange(now, &removal) {
-			changed = true
-		}
-	}
-	return changed
-}
-
-// unlisted returns the known keys that a complete listing does not contain and that
-// are not newer than it.
-func (r *Replica) unlisted(b Batch) (keys []string) {
-	listed := make(map[string]bool, len(b.Changes))
-	for i := range b.Changes {
-		listed[b.Changes[i].Key] = true
-	}
-	for key, item := range r.items {
-		if !listed[key] && !item.removed && !item.position.After(b.Position) {
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
-
 func (r *Replica) applyConfiguration(c *platform.Change) bool {
 	if c.Removed {
 		// Operators never withdraw a configuration, so the last one stays in
@@ -282,6 +258,7 @@
 	if err != nil {
 		event.Log(r.logger, event.EntryInvalid, slog.String("endpoint", id),
 			logPosition(c.Position()), slog.String("error", err.Error()))
+		r.dropUnusable(c.Key)
 		return r.directory.RemoveEndpoint(now, id, c.Position())
 	}
 	if !r.listing {
@@ -324,18 +301,6 @@
 // View returns an immutable view of the current state.
 func (r *Replica) View(now time.Duration) *catalog.View { return r.directory.View(now) }
 
-// Expire discards removals that are older than the history, and expired endpoints.
-// Its results are those of catalog.Directory.Expire.
-func (r *Replica) Expire(now time.Duration) (next time.Duration, changed bool) {
-	for key, item := range r.items {
-		if item.removed && now >= item.removedAt+r.history {
-			delete(r.items, key)
-			r.compacted = r.compacted.Max(item.position)
-		}
-	}
-	return r.directory.Expire(now)
-}
-
 // Progress returns how much of the store's state the replica has.
 func (r *Replica) Progress() Progress {
 	p := Progress{Position: r.directory.Position()}
@@ -351,39 +316,3 @@
 // AsOf returns the time as of which the replica is current, on the boot-time
 // clock.
 func (r *Replica) AsOf() time.Duration { return r.asOf }
-
-// Since returns what a peer with the given progress is missing. The batch is
-// complete, without removals, if the peer has no state of this incarnation of the
-// store or if a removal that it may be missing was discarded.
-func (r *Replica) Since(now time.Duration, peer Progress) Batch {
-	own := r.directory.Position()
-	b := Batch{
-		Complete: peer.Position.IsZero() || peer.Position.Incarnation != own.Incarnation ||
-			r.compacted.After(peer.Position),
-		Position:      own,
-		AsOf:          r.asOf,
-		RecoveryGrace: r.directory.RecoveryGraceLeft(now),
-	}
-	for key, item := range r.items {
-		if b.Complete && item.removed || !b.Complete && !item.position.After(peer.Position) {
-			continue
-		}
-		b.Changes = append(b.Changes, platform.Change{
-			Item: platform.Item{
-				Key: key, Value: item.value, Revision: item.position.Revision, Incarnation: item.position.Incarnation,
-			},
-			Removed: item.removed,
-		})
-	}
-	b.Version = r.Progress().Version
-	if b.Version > peer.Version && !containsChange(b.Changes, &r.inForce) {
-		b.Changes = append(b.Changes, r.inForce)
-	}
-	return b
-}
-
-func containsChange(list []platform.Change, c *platform.Change) bool {
-	return slices.ContainsFunc(list, func(other platform.Change) bool {
-		return other.Key == c.Key && other.Position() == c.Position()
-	})
-}
