follow: Ignore late writes of a key that a listing has shown to be gone

Cause: a complete batch removes the keys that it lacks, but not those that count as removed already. Their position stayed that of the older removal, so that a write from between, which a feed of another host brought late, was applied. The second removal is from before the state's position and never comes again: an endpoint that is gone, or an evacuation, stayed until the next listing.

TestLateChangeOfARemovedKeyIsIgnored failed before.

Change: the last known position of a key that does not exist is at least compacted.

The random test now tells what a withheld secret means: after an update without the secret, the host's progress does not hold for it until the store or a whole state has brought it.

--- a/internal/follow/convergence_test.go
+++ b/internal/follow/convergence_test.go
@@ -57,6 +57,9 @@
 	feed        *siteFeed
 	progress    Progress
 	asOf        time.Duration
+	// withheld is set from an update that withholds the secret until the store or a whole
+	// state says how it is: what the host states of its progress does not hold for the secret.
+	withheld bool
 }
 
 func newSite(t *rapid.T) *site {
@@ -138,11 +141,14 @@
 // start starts a host's process.
 func (h *siteHost) start() {
 	h.replica, h.incarnation, h.feed = newTestReplica(), 0, nil
-	h.progress, h.asOf = Progress{}, 0
+	h.progress, h.asOf, h.withheld = Progress{}, 0, false
 	h.follower = &Follower{
 		Store: h, Timings: NewTimings(3 * time.Second), Logger: slog.New(slog.DiscardHandler),
 		BootTime: func() time.Duration { return h.site.now },
-		OnBatch:  func(b Batch) { h.apply(b) },
+		OnBatch: func(b Batch) {
+			h.withheld = h.withheld && b.Partial
+			h.apply(b)
+		},
 	}
 }
 
@@ -222,7 +228,7 @@
 func (h *siteHost) requireTrue(state pastState) {
 	for key, c := range state.items {
 		item := h.replica.items[key]
-		if key == platform.SecretKey && h.replica.secret == nil || item.position == c.Position() && !item.removed {
+		if key == platform.SecretKey && h.withheld || item.position == c.Position() && !item.removed {
 			continue
 		}
 		require.NotEqual(h.site.t, c.Position(), h.site.positionOf(key), "%s at %s is missing, state of %s", key, c.Position(), state.position)
@@ -234,6 +240,9 @@
 			// Hosts keep a configuration that a restored store has lost, and tell others.
 			continue
 		}
+		if key == platform.SecretKey && h.withheld {
+			continue
+		}
 		if _, exists := state.items[key]; !exists && !item.removed {
 			require.True(h.site.t, item.position.After(state.position), "%s of %s was gone at %s", key, item.position, state.position)
 		}
--- a/internal/follow/holes_test.go
+++ b/internal/follow/holes_test.go
@@ -121,3 +121,21 @@
 	r.Apply(0, Batch{Complete: true, Position: at(9), Changes: whole})
 	require.Empty(t, availableIDs(r.View(0)))
 }
+
+// TestLateChangeOfARemovedKeyIsIgnored: a key is removed, written and removed again. The host
+// has seen the first removal, and a listing from after the second one; an update of another
+// host with the write between them arrives late. Nothing would ever remove the key again.
+func TestLateChangeOfARemovedKeyIsIgnored(t *testing.T) {
+	for name, late := range map[string]Batch{
+		"partial": {Partial: true, Position: at(0)}, "complete": {Complete: true, Position: at(7)}, "changes": {Position: at(7)},
+	} {
+		r := newTestReplica()
+		configuration, key := configurationAt(1, 1), platformtest.EndpointKey("i-1")
+		r.Apply(0, Batch{Complete: true, Position: at(3), Changes: []platform.Change{configuration, entryAt("i-1", 3, "ready")}})
+		r.Apply(0, Batch{Position: at(4), Changes: []platform.Change{removal(key, 4)}})
+		r.Apply(0, Batch{Complete: true, Position: at(9), Changes: []platform.Change{configuration}})
+		late.Changes = []platform.Change{configuration, entryAt("i-1", 6, "ready")}
+		r.Apply(0, late)
+		require.Empty(t, availableIDs(r.View(0)), name)
+	}
+}
--- a/internal/follow/items.go
+++ b/internal/follow/items.go
@@ -38,31 +38,34 @@
 }
 
 // outdated reports whether a change says nothing new of its key. A change that is no newer
-// than the key's last known one is outdated, and so is one of an unknown key that is no newer
-// than the discarded removals, which may have removed it. A complete batch is the last word on
-// what exists, though, if it is from after those removals or from after the state whose lack
-// of the key counts as its removal: the replica has missed the key then.
+// than the last one that a source has reported is outdated, and so is one of a key that does
+// not exist if it is no newer than what is known of its removal. A complete batch is the last
+// word on what exists, though, if it is from after that: the replica has missed the key then.
 func (r *Replica) outdated(c *platform.Change) bool {
-	last, reported := r.lastKnown(c.Key)
+	if item, known := r.items[c.Key]; known && !item.inferred && !c.Position().After(item.position) {
+		return true
+	}
+	last := r.lastKnown(c.Key)
 	if c.Position().After(last) {
 		return false
 	}
-	return reported || c.Removed || r.stated.IsZero() || last.After(r.stated)
+	return c.Removed || r.stated.IsZero() || last.After(r.stated)
 }
 
-// lastKnown returns the position up to which changes of the key are known, and whether a
-// source has reported the change there.
-func (r *Replica) lastKnown(key string) (last catalog.Position, reported bool) {
-	if item, known := r.items[key]; known {
-		return item.position, !item.inferred
+// lastKnown returns the position up to which changes of the key are known. A key that does not
+// exist may have been written and removed again up to compacted.
+func (r *Replica) lastKnown(key string) catalog.Position {
+	item, known := r.items[key]
+	if known && !item.removed {
+		return item.position
 	}
-	return r.compactedOf(key), false
+	return item.position.Max(r.compactedOf(key))
 }
 
 // recordIfMissed records that the replica has missed a key, if the change that is about to be
 // applied is older than what counted as its removal, and makes way for it.
 func (r *Replica) recordIfMissed(kind platform.Kind, name string, c *platform.Change) {
-	if last, _ := r.lastKnown(c.Key); c.Position().After(last) {
+	if c.Position().After(r.lastKnown(c.Key)) {
 		return
 	}
 	r.found = append(r.found, c.Key)
--- a/internal/follow/sitefeed_test.go
+++ b/internal/follow/sitefeed_test.go
@@ -70,6 +70,7 @@
 // deliver passes on a batch of a feed as a host does.
 func (h *siteHost) deliver(b Batch) {
 	h.incarnation = max(h.incarnation, b.Position.Incarnation)
+	h.withheld = len(b.Withheld) > 0 || h.withheld && !b.Complete
 	h.apply(b)
 	if len(b.Withheld) == 0 {
 		h.follower.Resume(b.Position)
