follow: Start no recovery grace after a loss that another host has bridged

Cause: a failed call to the store counts until the next successful one.

Change: there is no grace if another source was current after the loss, and to within the normal age at the return. Its own grace comes with its updates. A host that was fed only until an outage keeps the grace.

TestNoRecoveryGraceWithoutAnOutage failed before for the host that is fed all the time. Not played with processes.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -62,6 +62,8 @@
 	// is when the first failed call began.
 	lostAt time.Duration
 	lost   bool
+	// fedAsOf is the time as of which another source was current last.
+	fedAsOf time.Duration
 }
 
 // Resume lets the next step continue from the position, up to which another
@@ -128,7 +130,11 @@
 	return f.backoff.Next()
 }
 
-// reconnected records an answer and reports whether failures preceded it.
+// Fed records that another source was current as of the time, on the boot-time clock.
+func (f *Follower) Fed(asOf time.Duration) { f.fedAsOf = max(f.fedAsOf, asOf) }
+
+// reconnected records an answer, and reports whether failures preceded it and no other
+// source has kept the state current since the first of them.
 func (f *Follower) reconnected() bool {
 	if !f.lost {
 		return false
@@ -136,7 +142,7 @@
 	f.lost = false
 	event.Log(f.Logger, event.StoreReachable,
 		slog.Duration("away", f.BootTime()-f.lostAt), slog.Int("failures", f.backoff.Failures()))
-	return true
+	return f.fedAsOf <= f.lostAt || f.BootTime()-f.fedAsOf > f.Timings.NormalAge()
 }
 
 // listing is a partially read listing.
--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -229,6 +229,7 @@
 			useful = useful || !b.Partial && s.clock.BootTime()-b.AsOf <= s.timings.MaxAge
 			s.store.Observe(b.Position.Incarnation)
 			s.control.apply(ctx, b)
+			s.follower.Fed(b.AsOf)
 			if len(b.Withheld) == 0 {
 				// Else the follower reads from the store what the peer left out.
 				s.follower.Resume(b.Position)
