follow: Send no part of a listing as a whole state

Cause: a host that has read only a part of its first listing, and knows the secret by a change that came with it, stated its state as whole at revision 0. A host that knows an earlier incarnation of the store would have taken all other keys for removed.

Change: such a host sends nothing yet.

--- a/internal/follow/holes_test.go
+++ b/internal/follow/holes_test.go
@@ -139,3 +139,19 @@
 		require.Empty(t, availableIDs(r.View(0)), name)
 	}
 }
+
+// TestPartOfAListingIsNoState: a host has started after a restore of the store and has read a
+// part of the listing. A host that it feeds must not take that for the whole state, and all
+// other endpoints for removed.
+func TestPartOfAListingIsNoState(t *testing.T) {
+	started := newTestReplica()
+	started.Apply(0, Batch{Partial: true, Position: inSecond(0), Changes: []platform.Change{restored(entryAt("i-1", 5, "ready"))}})
+	known := newTestReplica()
+	known.Apply(0, Batch{Complete: true, Position: at(9), Changes: []platform.Change{configurationAt(1, 1), entryAt("i-2", 4, "ready")}})
+	for range 2 {
+		known.Apply(0, started.Since(0, known.Progress()))
+		require.Equal(t, []string{"i-2"}, availableIDs(known.View(recoveryGracePeriod)))
+		require.Equal(t, at(9), known.Progress().Position)
+	}
+	require.Empty(t, started.Since(0, Progress{}).Changes)
+}
--- a/internal/follow/since.go
+++ b/internal/follow/since.go
@@ -9,9 +9,13 @@
 
 // Since returns what a peer with the given progress is missing. The batch is
 // complete, without removals, if the peer has no state of this incarnation of the
-// store or if a removal that it may be missing was discarded.
+// store or if a removal that it may be missing was discarded. It is empty while the
+// replica has no more than a part of a listing.
 func (r *Replica) Since(now time.Duration, peer Progress) Batch {
 	own := r.directory.Position()
+	if own.IsZero() {
+		return Batch{Position: own, AsOf: r.asOf}
+	}
 	b := Batch{
 		Complete: peer.Position.IsZero() || peer.Position.Incarnation != own.Incarnation ||
 			r.compacted.After(peer.Position),
