relayd: Report that a host's state is old, and why

No line says that the state is old, 8000 and 8001 do not state its age, and the status says "unreachable" whatever the reason is, so that the hypotheses (an answer that can't be decoded, a busy control goroutine, a peer that is old, a store that refuses or is silent) can't be told apart.

Change: a monitor checks the age four times a second, on a goroutine of its own that waits for no other one. Beyond the shortest bound on changes it logs 9028 with the reason and what the reason rests on, and 9029 at the end; state_old, state_old_times, control_busy_milliseconds and store_answer_age_milliseconds are its metrics. The control goroutine publishes its task and the key that it applies, the syncer its source, the follower the outcome of its calls. The time for which the process was paused does not count. 8000 and 8001 have view_age. The operators' status names the reason, and no longer waits for a control goroutine that is busy. A query of the control goroutine whose context ends no longer reads a result that the task may still write. No decision of the host changes.

Without the pause's time, its reset or the limit on repeated lines, one test each fails; without the status's time-out its test hangs.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -29,7 +29,8 @@
 	// Version and Digest identify the bundle in force; the digest is in hex.
 	Version uint64 `json:"bundle_version"`
 	Digest  string `json:"bundle_digest"`
-	// Platform is "reachable", "unreachable" or "unused".
+	// Platform is "reachable", "unreachable" or "unused"; if the host's state is old for
+	// another reason than a silent store, it is the reason of event 9028.
 	Platform string `json:"platform"`
 	// Evacuated are the failure domains whose endpoints take no new flows at operators'
 	// request.
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -93,6 +93,8 @@
 	FeedBufferUnlimited
 	DomainEvacuated
 	EvacuationRemoved
+	StateOld
+	StateCurrent
 )
 
 var followerArea = Area{
@@ -126,5 +128,7 @@
 		{FeedBufferUnlimited, slog.LevelWarn, "send buffer of a feed could not be limited", "None on a fast link; on a slow one, changes may come late while a large configuration is sent."},
 		{DomainEvacuated, slog.LevelInfo, "failure domain evacuated; its endpoints get no new flows", "None; open flows end by themselves."},
 		{EvacuationRemoved, slog.LevelInfo, "evacuation of a failure domain removed", "None; with held_for above 0 it stays in force for that long, since the store may have lost it."},
+		{StateOld, slog.LevelWarn, "state of the store is old", "See the reason in docs/OPERATIONS.md; until event 9029 the host forwards by what it knew."},
+		{StateCurrent, slog.LevelInfo, "state of the store is current again", "See the reason and old_for; changes of that time were in force late at this host."},
 	},
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -62,6 +62,7 @@
 	// is when the first failed call began.
 	lostAt time.Duration
 	lost   bool
+	health health
 }
 
 // Resume lets the next step continue from the position, up to which another
@@ -97,7 +98,9 @@
 
 func (f *Follower) step(ctx context.Context, wait time.Duration) time.Duration {
 	started := f.BootTime()
+	f.health.begin(started)
 	err := f.call(ctx, wait)
+	f.health.end(err)
 	if ctx.Err() != nil {
 		return 0
 	}
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -7,6 +7,7 @@
 import (
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"toucangap/internal/catalog"
@@ -89,6 +90,8 @@
 	listing bool
 	// restores counts the incarnations of the store after the first.
 	restores int64
+	// applying is the key of the change that is being applied, nil between batches.
+	applying atomic.Pointer[string]
 }
 
 // NewReplica returns an empty replica. Flows of removed endpoints are forwarded
@@ -109,6 +112,7 @@
 // time is on the monotonic clock. A batch of an earlier incarnation of the store is
 // ignored, also as to how current it is; one of a later incarnation must be complete.
 func (r *Replica) Apply(now time.Duration, b Batch) (changed bool) {
+	defer r.applying.Store(nil)
 	known := r.directory.Position()
 	restored := b.Position.Incarnation > known.Incarnation && !known.IsZero()
 	if b.Position.Incarnation < known.Incarnation || restored && !b.Complete {
@@ -183,6 +187,7 @@
 
 // applyChange applies a change unless a newer one of its key is known.
 func (r *Replica) applyChange(now time.Duration, c *platform.Change) bool {
+	r.applying.Store(&c.Key)
 	kind, name := platform.Classify(c.Key)
 	old, known := r.items[c.Key]
 	position := c.Position()
--- a/internal/relayd/control.go
+++ b/internal/relayd/control.go
@@ -20,11 +20,16 @@
 type control struct {
 	clock   *clock
 	replica *follow.Replica
-	tasks   chan func()
+	tasks   chan task
 	view    atomic.Pointer[catalog.View]
+	// running is the task in progress, nil between tasks.
+	running atomic.Pointer[runningTask]
 	// asOf is the time as of which the replica is current, in nanoseconds on the
 	// boot-time clock.
 	asOf atomic.Int64
+	// position is the store's position up to which the replica is complete, nil before the
+	// first batch.
+	position atomic.Pointer[catalog.Position]
 	// restores is how often the store was restored from a copy since the start.
 	restores atomic.Int64
 	// hostCount is the number of registered hosts.
@@ -46,13 +51,25 @@
 	changed chan struct{}
 }
 
+// task is a function that runs on the control goroutine.
+type task struct {
+	name string
+	run  func()
+}
+
+// runningTask is a task in progress and when it began, on the boot-time clock.
+type runningTask struct {
+	name  string
+	since time.Duration
+}
+
 func newControl(
 	c *clock, logger *slog.Logger, registry metrics.Registry, flowLifetime, history time.Duration,
 ) *control {
 	return &control{
 		clock:      c,
 		replica:    follow.NewReplica(logger, flowLifetime, history),
-		tasks:      make(chan func()),
+		tasks:      make(chan task),
 		changeAges: newHistogram(registry, "change_age_milliseconds"),
 		changed:    make(chan struct{}),
 	}
@@ -67,26 +84,50 @@
 		select {
 		case <-ctx.Done():
 			return
-		case task := <-c.tasks:
-			task()
+		case t := <-c.tasks:
+			c.execute(t)
 		case <-timer.C:
 		}
-		next, changed := c.replica.Expire(c.clock.Monotonic())
-		if changed {
-			c.publish()
-		}
+		var next time.Duration
+		c.execute(task{"expire", func() { next = c.expire() }})
 		if next > 0 {
 			timer.Reset(max(time.Millisecond, next-c.clock.Monotonic()))
 		}
 	}
 }
 
+// execute runs a task and lets other goroutines see it meanwhile.
+func (c *control) execute(t task) {
+	c.running.Store(&runningTask{t.name, c.clock.BootTime()})
+	t.run()
+	c.running.Store(nil)
+}
+
+// expire removes expired state from the replica and returns when to do so next, 0 if
+// nothing will expire.
+func (c *control) expire() (next time.Duration) {
+	next, changed := c.replica.Expire(c.clock.Monotonic())
+	if changed {
+		c.publish()
+	}
+	return next
+}
+
+// busy returns the task in progress, and the key of the change that it applies if it does;
+// a zero task means that there is none.
+func (c *control) busy() (t runningTask, key string) {
+	if running := c.running.Load(); running != nil {
+		return *running, c.replica.Applying()
+	}
+	return runningTask{}, ""
+}
+
 // do runs a task on the control goroutine and waits for it. It reports whether
-// the task ran.
-func (c *control) do(ctx context.Context, task func()) bool {
+// the task ran. If it returns false, the task may still run later.
+func (c *control) do(ctx context.Context, name string, run func()) bool {
 	done := make(chan struct{})
 	select {
-	case c.tasks <- func() { task(); close(done) }:
+	case c.tasks <- task{name, func() { run(); close(done) }}:
 	case <-ctx.Done():
 		return false
 	}
@@ -100,9 +141,11 @@
 
 // apply applies a batch to the replica and publishes what has changed.
 func (c *control) apply(ctx context.Context, b follow.Batch) {
-	c.do(ctx, func() {
+	c.do(ctx, "apply", func() {
 		previous := c.replica.AsOf()
 		changed := c.replica.Apply(c.clock.Monotonic(), b)
+		position := c.replica.Progress().Position
+		c.position.Store(&position)
 		c.restores.Store(c.replica.Restores())
 		c.hostCount.Store(int64(c.replica.HostCount()))
 		c.homeHostCount.Store(int64(c.replica.HostCountIn(c.domain)))
@@ -144,11 +187,21 @@
 	return c.changed
 }
 
+// ask runs a function on the control goroutine and returns its result, or the zero value
+// if the context ends first.
+func ask[T any](ctx context.Context, c *control, name string, read func() T) (result T) {
+	var answer T
+	if c.do(ctx, name, func() { answer = read() }) {
+		result = answer
+	}
+	return result
+}
+
 // Since implements feed.Source.
 func (c *control) Since(ctx context.Context, client follow.Progress) (follow.Batch, error) {
 	var b follow.Batch
-	if !c.do(ctx, func() { b = c.replica.Since(c.clock.Monotonic(), client) }) {
-		return b, context.Cause(ctx)
+	if !c.do(ctx, "since", func() { b = c.replica.Since(c.clock.Monotonic(), client) }) {
+		return follow.Batch{}, context.Cause(ctx)
 	}
 	return b, nil
 }
@@ -161,29 +214,50 @@
 
 // secret returns the hosts' shared secret, or nil, and whether the store holds one.
 func (c *control) secret(ctx context.Context) (secret []byte, stored bool) {
-	c.do(ctx, func() { secret, stored = c.replica.Secret() })
-	return secret, stored
+	type result struct {
+		secret []byte
+		stored bool
+	}
+	r := ask(ctx, c, "secret", func() (r result) {
+		r.secret, r.stored = c.replica.Secret()
+		return r
+	})
+	return r.secret, r.stored
 }
 
 // hosts returns the registered hosts.
-func (c *control) hosts(ctx context.Context) (hosts []follow.Host) {
-	c.do(ctx, func() { hosts = c.replica.Hosts() })
-	return hosts
+func (c *control) hosts(ctx context.Context) []follow.Host {
+	return ask(ctx, c, "hosts", c.replica.Hosts)
 }
 
 // mayLeave reports whether the host may leave the rotation now.
 func (c *control) mayLeave(ctx context.Context, h follow.Host) (ok bool, restarting []string) {
-	c.do(ctx, func() { ok, restarting = c.replica.MayLeave(c.clock.Monotonic(), h.Name, h.Domain) })
-	return ok, restarting
+	type result struct {
+		ok         bool
+		restarting []string
+	}
+	r := ask(ctx, c, "may leave", func() (r result) {
+		r.ok, r.restarting = c.replica.MayLeave(c.clock.Monotonic(), h.Name, h.Domain)
+		return r
+	})
+	return r.ok, r.restarting
 }
 
 // progress returns how much of the store's state the replica has.
-func (c *control) progress(ctx context.Context) (p follow.Progress) {
-	c.do(ctx, func() { p = c.replica.Progress() })
-	return p
+func (c *control) progress(ctx context.Context) follow.Progress {
+	return ask(ctx, c, "progress", c.replica.Progress)
 }
 
 // age returns the time since the replica was last known to be current.
 func (c *control) age() time.Duration {
 	return c.clock.BootTime() - time.Duration(c.asOf.Load())
 }
+
+// busyFor returns how long the task in progress has taken so far.
+func (c *control) busyFor() time.Duration {
+	t, _ := c.busy()
+	if t.name == "" {
+		return 0
+	}
+	return c.clock.BootTime() - t.since
+}
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -50,6 +50,12 @@
 	}
 	functional("view_revision", func() int64 { return int64(viewPosition().Revision) })
 	functional("view_incarnation", func() int64 { return int64(viewPosition().Incarnation) })
+	functional("state_old", d.staleness.old)
+	functional("state_old_times", d.staleness.times.Load)
+	functional("control_busy_milliseconds", func() int64 { return d.control.busyFor().Milliseconds() })
+	functional("store_answer_age_milliseconds", func() int64 {
+		return (d.clock.BootTime() - d.syncer.follower.LastResponse()).Milliseconds()
+	})
 	functional("store_restores", d.control.restores.Load)
 	functional("domains_evacuated", func() int64 {
 		if v := d.control.view.Load(); v != nil {
--- a/internal/relayd/observer.go
+++ b/internal/relayd/observer.go
@@ -114,12 +114,13 @@
 		}
 		if o.allows(now, limit) {
 			event.Log(o.logger, event.FlowPlaced, placementAttrs(&p, slog.Bool("trial", p.Choice.Trial),
-				slog.Duration("waited", p.Waited), slog.String("order", order(&p)))...)
+				slog.Duration("waited", p.Waited), slog.String("order", order(&p)), slog.Duration("view_age", o.age()))...)
 		}
 		return
 	}
 	if o.allows(now, o.noteworthy) {
-		event.Log(o.logger, event.FlowFailedOver, placementAttrs(&p, slog.Int("try", p.Try), slog.Duration("waited", p.Waited))...)
+		event.Log(o.logger, event.FlowFailedOver, placementAttrs(&p, slog.Int("try", p.Try), slog.Duration("waited", p.Waited),
+			slog.Duration("view_age", o.age()))...)
 	}
 }
 
--- a/internal/relayd/queries.go
+++ b/internal/relayd/queries.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -23,6 +24,9 @@
 	errCaller = merry.Sentinel("caller is not an IPv4 address")
 )
 
+// statusTimeout is how long a status waits for the list of hosts.
+const statusTimeout = 500 * time.Millisecond
+
 // queries answers operators' queries. It implements admin.Queries.
 type queries struct {
 	daemon *Daemon
@@ -40,13 +44,18 @@
 	if ready, reason := d.ready.ready(); !ready {
 		s.State = "unready: " + reason
 	}
-	if d.control.age() > d.timings.MaxAge {
+	if reason := d.staleness.reason(); reason != "" && reason != reasonSourceSilent {
+		s.Platform = string(reason)
+	} else if d.control.age() > d.timings.MaxAge {
 		s.Platform = "unreachable"
 	}
 	if v := d.control.view.Load(); v != nil && v.Configuration != nil {
 		s.Version = v.Configuration.Version
 		s.Evacuated = v.EvacuatedDomains()
 	}
+	// The status must come when the control goroutine is busy, which it explains.
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	for _, h := range d.control.hosts(ctx) {
 		s.Hosts = append(s.Hosts, adminapi.HostStatus{Name: h.Name, Domain: h.Domain, State: "registered"})
 	}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -57,6 +57,8 @@
 	ready     *readiness
 	registrar *registrar
 	exchange  *exchange
+	syncer    *syncer
+	staleness *stalenessMonitor
 	// isolation is nil unless the settings ask for it.
 	isolation *isolation
 	registry  metrics.Registry
@@ -90,6 +92,8 @@
 		d.logWriter.Close(logFlushTimeout)
 		return nil, err
 	}
+	d.syncer = d.newSyncer()
+	d.staleness = newStalenessMonitor(d.syncer, s.Bounds.ShortestChange())
 	d.registerGauges(d.registry)
 	return d, nil
 }
@@ -194,7 +198,8 @@
 	start(func() error { return d.admin.Run(ctx) })
 	start(func() error { return d.feedServer().Serve(ctx, d.feedListener) })
 	start(func() error { return d.traffic.run() })
-	go d.syncer().run(ctx)
+	go d.syncer.run(ctx)
+	go d.staleness.run(ctx)
 	go d.exchange.run(ctx)
 	if d.isolation != nil {
 		go d.isolation.run(ctx)
@@ -222,7 +227,7 @@
 	}
 }
 
-func (d *Daemon) syncer() *syncer {
+func (d *Daemon) newSyncer() *syncer {
 	s := &syncer{
 		host:      d.registrar.host,
 		seeds:     d.settings.Seeds,
--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -38,6 +38,7 @@
 	transfers metrics.Histogram
 	// receiving is the number of seeds that are connected and send their state.
 	receiving atomic.Int64
+	source    sourceStatus
 	// retryAt is when a host may be tried again, on the monotonic clock.
 	retryAt map[string]time.Duration
 }
@@ -45,6 +46,7 @@
 // run receives updates until the context ends.
 func (s *syncer) run(ctx context.Context) {
 	event.Log(s.logger, event.FollowingStore)
+	s.source.set(storeSource, s.clock.BootTime())
 	go s.bootstrap(ctx)
 	for ctx.Err() == nil {
 		if s.followPeers(ctx) {
@@ -212,6 +214,8 @@
 // follow receives a peer's feed until it fails or limited ends, which is ctx or
 // derived from it. It reports whether the feed delivered any current update.
 func (s *syncer) follow(ctx context.Context, peer follow.Host, limited context.Context) (useful bool) {
+	s.source.set(peer.Name, s.clock.BootTime())
+	defer func() { s.source.set(storeSource, s.clock.BootTime()) }()
 	client := feed.Client{
 		Host:           s.host.Name,
 		Domain:         s.host.Domain,
@@ -226,6 +230,7 @@
 		},
 		OnTransfer: func(bytes int, took time.Duration) { s.recordTransfer(peer.Name, bytes, took) },
 		OnBatch: func(b follow.Batch) {
+			s.source.update(s.clock.BootTime())
 			useful = useful || !b.Partial && s.clock.BootTime()-b.AsOf <= s.timings.MaxAge
 			s.store.Observe(b.Position.Incarnation)
 			s.control.apply(ctx, b)
