--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -64,6 +64,7 @@
 	lost   bool
 	// fedAsOf is the time as of which another source was current last.
 	fedAsOf time.Duration
+	health  health
 }
 
 // Resume lets the next step continue from the position, up to which another
@@ -99,7 +100,9 @@
 
 func (f *Follower) step(ctx context.Context, wait time.Duration) time.Duration {
 	started := f.BootTime()
+	f.health.begin(started)
 	err := f.call(ctx, wait)
+	f.health.end(err)
 	if ctx.Err() != nil {
 		return 0
 	}
