soak: Judge each host by whether it is in touch; draw what the store holds and answers

Cause: a fault of one host suspended the check of configurations at all hosts, also the faults of endpoints and feeds, and late flows at draining endpoints were counted without naming the host.

Each version is due 3 s after its acceptance, also if newer ones follow. A host in touch must not send new flows to a draining endpoint after the bound, and must answer queries. A last drain and configuration follow the last fault. Reports count the checks in force by check and beside each kind of fault.

--- a/standin/binaries/tg-soak/main.go
+++ b/standin/binaries/tg-soak/main.go
@@ -46,6 +46,8 @@
 			&cli.FloatFlag{Name: "rate", Value: 150, Usage: "requests per second"},
 			&cli.IntFlag{Name: "port", Value: 18100, Usage: "first of ten ports on 127.0.0.0/8"},
 			&cli.BoolFlag{Name: "calm", Usage: "inject no faults, only run the load"},
+			&cli.BoolFlag{Name: "store-kinds", Usage: "draw also other writers' entries and conditions of the store"},
+			&cli.StringSliceFlag{Name: "leave-out", Usage: "leave out faults of a `KIND`"},
 			&cli.BoolFlag{Name: "keep", Usage: "keep the hosts' logs"},
 			&cli.BoolFlag{Name: "reduce", Usage: "remove faults from a failing schedule as long as it still fails"},
 			&cli.StringFlag{Name: "schedule", Usage: "run the schedule in `FILE` instead of seeds"},
@@ -59,6 +61,7 @@
 	o := soak.Options{
 		Daemon: c.String("daemon"), Port: c.Int("port"), Faults: c.Duration("faults"),
 		Domains: c.Int("domains"), Hosts: c.Int("hosts"), Rate: c.Float("rate"), Keep: c.Bool("keep"),
+		StoreKinds: c.Bool("store-kinds"),
 	}
 	schedules, err := loadSchedules(c, o)
 	if err != nil {
@@ -104,7 +107,7 @@
 	}
 	var schedules []soak.Schedule
 	for i := range c.Int("seeds") {
-		s := soak.NewSchedule(c.Uint64("seed")+uint64(i), o.Faults)
+		s := soak.NewSchedule(c.Uint64("seed")+uint64(i), o.Faults, o.StoreKinds).Without(c.StringSlice("leave-out"))
 		if c.Bool("calm") {
 			s.Faults = nil
 		}
--- a/standin/site/demand.go
+++ b/standin/site/demand.go
@@ -9,6 +9,10 @@
 // checks run in the same process.
 const stallLimit = 250 * time.Millisecond
 
+// harmfulStall is the delay after which hosts do not count as in touch: their packets and the
+// store's responses have waited as long.
+const harmfulStall = time.Second
+
 // demand holds the current changes of the load.
 type demand struct {
 	// shiftShare of the requests come from callers of shiftDomain until shiftEnd,
@@ -44,6 +48,9 @@
 	elapsed := now - s.lastTick
 	if s.lastTick > 0 && elapsed > stallLimit {
 		s.recordFault(now, "the soak's own process stalled for "+elapsed.String())
+		if elapsed > harmfulStall {
+			s.harmAll()
+		}
 	}
 	s.lastTick = now
 	if !s.loadOn {
--- a/standin/site/endpoint.go
+++ b/standin/site/endpoint.go
@@ -33,6 +33,9 @@
 	// registersAt when that is.
 	entryDelay  time.Duration
 	registersAt time.Duration
+	// reportedLate and notedLate hold the hosts for which a late flow after the drain has been
+	// recorded as a violation, and as a note.
+	reportedLate, notedLate map[*Host]bool
 }
 
 // entry is an endpoint's entry in the store; its fields are encoded by name.
@@ -78,11 +81,12 @@
 		Endpoint: ends.Endpoint{Number: uint64(n) + 0x1000, Service: service, Slots: 2, Queue: 8, Key: s.key, Ledger: s.ledger, WorkFactor: 1},
 		Link:     link,
 		site:     s, id: fmt.Sprintf("i-%x", n+0x1000), domain: domain, conn: conn, startedAtMs: time.Now().UnixMilli(),
+		reportedLate: make(map[*Host]bool), notedLate: make(map[*Host]bool),
 	}
 	s.endpoints = append(s.endpoints, e)
 	s.wait.Go(e.read)
 	s.wait.Go(func() {
-		link.run(func(from netip.AddrPort, datagram []byte) { s.checkEvacuation(e, from, datagram) })
+		link.run(func(from netip.AddrPort, datagram []byte) { s.checkNewFlow(e, from, datagram) })
 	})
 	return e, nil
 }
@@ -199,10 +203,12 @@
 }
 
 // drainAccepted sets the deadline for new flows, which counts from the store's acceptance
-// of the report, and removes the endpoint some time after it.
+// of the report, or is when hosts are in touch again after they could not read it, and
+// removes the endpoint some time after it.
 func (e *Endpoint) drainAccepted() {
-	e.DrainDeadline = e.site.now() + DrainBound
-	time.AfterFunc(DrainBound+2*time.Second, func() {
+	now := e.site.now()
+	e.DrainDeadline = max(now+DrainBound, e.site.readsHarmedUntil)
+	time.AfterFunc(e.DrainDeadline-now+2*time.Second, func() {
 		e.site.mu.Lock()
 		defer e.site.mu.Unlock()
 		e.removed = true
--- a/standin/site/evacuation.go
+++ b/standin/site/evacuation.go
@@ -78,9 +78,9 @@
 	h.evacuationsSuspendedUntil = max(h.evacuationsSuspendedUntil, h.site.now()+span+stabilization)
 }
 
-// checkEvacuation records a violation if a host sends a SYN to an endpoint of an evacuated
-// domain after the deadline, unless the flow is open there.
-func (s *Site) checkEvacuation(e *Endpoint, from netip.AddrPort, datagram []byte) {
+// checkNewFlow records a violation if a host sends a SYN to an endpoint of an evacuated
+// domain, or to a draining endpoint, after the deadline, unless the flow is open there.
+func (s *Site) checkNewFlow(e *Endpoint, from netip.AddrPort, datagram []byte) {
 	if len(datagram) < platform.RecipientBytes {
 		return
 	}
@@ -90,8 +90,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, v, h := s.now(), s.evacuations[e.domain], s.hostAt(from.Addr())
-	if v == nil || !v.written || now <= v.deadline || h == nil || v.reported[h] || e.Holds(packet.Flow) {
+	h := s.hostAt(from.Addr())
+	if h == nil || e.Holds(packet.Flow) {
+		return
+	}
+	s.checkEvacuation(e, h, packet.Flow)
+	s.checkDrain(e, h, packet.Flow)
+}
+
+func (s *Site) checkEvacuation(e *Endpoint, h *Host, flow catalog.Flow) {
+	now, v := s.now(), s.evacuations[e.domain]
+	if v == nil || !v.written || now <= v.deadline || v.reported[h] {
 		return
 	}
 	h.mu.Lock()
@@ -99,7 +108,7 @@
 	h.mu.Unlock()
 	if !suspended {
 		v.reported[h] = true
-		s.Result.recordViolation(now, lateText(h, e, packet.Flow, now-v.deadline))
+		s.Result.recordViolation(now, lateText(h, e, flow, now-v.deadline))
 	}
 }
 
--- a/standin/site/host.go
+++ b/standin/site/host.go
@@ -47,6 +47,8 @@
 	failures int
 	// evacuationsSuspendedUntil is when the check of evacuations applies again.
 	evacuationsSuspendedUntil time.Duration
+	// harmedUntil is when the host is in touch again after a fault.
+	harmedUntil time.Duration
 }
 
 // addHost starts the next host of domain d with its proxies.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -45,6 +45,9 @@
 	// ColdStarts makes endpoints that start during the run cold, with a limit on their
 	// new flows.
 	ColdStarts bool
+	// Prepare is called with the store before the endpoints and the hosts start, unless it
+	// is nil.
+	Prepare func(*kv.Store)
 }
 
 // Names of the services.
@@ -98,15 +101,17 @@
 	Store   *kv.Store
 	Result  *Result
 
-	mu          sync.Mutex
-	started     time.Time
-	rng         *rand.Rand
-	key         ends.Key
-	ledger      *ends.Ledger
-	hosts       []*Host
-	endpoints   []*Endpoint
-	callers     []*caller
-	version     uint64
+	mu        sync.Mutex
+	started   time.Time
+	rng       *rand.Rand
+	key       ends.Key
+	ledger    *ends.Ledger
+	hosts     []*Host
+	endpoints []*Endpoint
+	callers   []*caller
+	version   uint64
+	// accepted holds the versions by the time at which the store accepted them.
+	accepted    []acceptedVersion
 	requests    uint64  // started so far
 	dueRequests float64 // not started yet
 	lastTick    time.Duration
@@ -114,11 +119,13 @@
 	loadOn bool
 	// boundsSuspendedUntil is when checks with time bounds apply again.
 	boundsSuspendedUntil time.Duration
-	evacuations          map[string]*evacuation // by failure domain
-	demand               demand
-	wait                 sync.WaitGroup
-	done                 chan struct{}
-	servers              []*http.Server
+	// readsHarmedUntil is when hosts can read the store again, and are in touch.
+	readsHarmedUntil time.Duration
+	evacuations      map[string]*evacuation // by failure domain
+	demand           demand
+	wait             sync.WaitGroup
+	done             chan struct{}
+	servers          []*http.Server
 }
 
 // New starts the stand-ins and the hosts, without load. It returns an error if a
@@ -147,6 +154,9 @@
 	if err := s.serveStore(); err != nil {
 		return err
 	}
+	if s.Options.Prepare != nil {
+		s.Options.Prepare(s.Store)
+	}
 	s.Configure()
 	for i := range s.Options.Endpoints {
 		for _, service := range []string{serviceMain, serviceOther} {
@@ -227,6 +237,7 @@
 	version := s.version + 1 + s.rng.Uint64N(3)
 	if s.Store.Put("op/config", []byte(s.configuration(version)), 0) {
 		s.version = version
+		s.accepted = append(s.accepted, acceptedVersion{version, s.now()})
 	}
 }
 
--- a/standin/soak/evacuate.go
+++ b/standin/soak/evacuate.go
@@ -65,6 +65,7 @@
 		s.SuspendBounds(away)
 		for _, h := range s.Hosts() {
 			h.SuspendEvacuations(away)
+			h.Harm(away)
 		}
 		s.Store.SetFaults(faults)
 		time.AfterFunc(away, func() { s.Store.SetFaults(kv.Faults{}) })
@@ -95,7 +96,7 @@
 	switch f.Kind {
 	case "pause", "store-cut", "store-half-cut", "store-reset", "store-slow-link":
 		return []*site.Host{host(s, f)}
-	case "store-busy", "store-silent", "store-slow", "store-loses", "store-restored":
+	case "store-busy", "store-silent", "store-slow", "store-loses", "store-restored", "store-deaf", "store-cuts":
 		return s.Hosts()
 	case "domain-cut":
 		return slices.DeleteFunc(slices.Clone(s.Hosts()), func(h *site.Host) bool {
--- a/standin/soak/frozen_test.go
+++ b/standin/soak/frozen_test.go
@@ -69,3 +69,9 @@
 		require.True(t, s.Store.PutAll(keys, bytes.Repeat([]byte{0xff}, 1<<20)))
 	})
 }
+
+// TestDrainIsKnownBesideTextValue: the same after another writer has stored one value that is
+// sent as plain text in place of base64.
+func TestDrainIsKnownBesideTextValue(t *testing.T) {
+	drainAndConfigure(t, 21040, func(s *site.Site) { site.WriteEntries(s.Store, site.EntriesText, 0) })
+}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
@@ -23,6 +21,8 @@
 	// Domains is the number of failure domains, Hosts the number of hosts in each.
 	Domains int
 	Hosts   int
+	// StoreKinds adds the kinds of storeKinds and conditions of the store to the draw.
+	StoreKinds bool
 	// Rate is the load in requests per second.
 	Rate float64
 	// Keep retains the directory with the hosts' logs.
@@ -39,6 +39,9 @@
 	// recoveryWindow is the span at the end of that, but for its last second, in
 	// which callers must be served.
 	recoveryWindow = 2 * time.Second
+	// lastCheck is the time after that for which a last drain and configuration, written
+	// site.StopBound after the last fault, are still checked: all hosts are in touch then.
+	lastCheck = 2 * time.Second
 	// minAnsweredShare is the share of the ended requests started in it that must
 	// have been answered.
 	minAnsweredShare = 0.99
@@ -67,6 +70,10 @@
 	// its answer, in microseconds.
 	MedianUs float64 `json:"median_us"`
 	P99Us    float64 `json:"p99_us"`
+	// Checks counts by check, and Beside by kind of fault up to the time after it, how often
+	// a check with a time bound was in force for a host, and how often suspended.
+	Checks map[string]Tally `json:"checks"`
+	Beside map[string]Tally `json:"beside"`
 	// Directory holds the hosts' settings and logs; it is empty if they were removed.
 	Directory string `json:"directory,omitempty"`
 }
@@ -82,6 +89,7 @@
 	s, err := site.New(site.Options{
 		Daemon: o.Daemon, Dir: dir, Port: o.Port, Seed: schedule.Seed,
 		Domains: o.Domains, Hosts: o.Hosts, Endpoints: 6, Rate: o.Rate, ColdStarts: schedule.coldStarts(),
+		Prepare: schedule.Conditions.prepare,
 	})
 	if err != nil {
 		return report, err
@@ -106,18 +114,26 @@
 		for _, h := range separated(s, f) {
 			h.SuspendEvacuations(f.Span)
 		}
+		for _, h := range harmed(s, f) {
+			h.Harm(f.Span)
+		}
+		m.began(f)
 		s.RecordFault(f.String())
 		k.inject(s, f)
 		faultsEnd = max(faultsEnd, f.At+f.Span)
 	}
+	m.pollUntil(ctx, start.Add(faultsEnd+site.StopBound))
+	changeSoon(s, Fault{Target: int(schedule.Seed % 1000)})
 	m.pollUntil(ctx, start.Add(faultsEnd+site.StopBound+recovery))
 	m.checkRecovered()
+	m.pollUntil(ctx, time.Now().Add(lastCheck))
 	m.checkResources()
 	s.SetLoad(false)
 	m.pollUntil(ctx, time.Now().Add(drainWait))
 	m.checkRemainingFlows()
 	s.Finish()
 	fillReport(&report, s)
+	report.Checks, report.Beside = m.checks, m.beside
 	if len(report.Violations) > 0 || o.Keep {
 		report.Directory = dir
 	} else {
@@ -155,85 +171,6 @@
 	return false
 }
 
-// observation is the configuration version that a host's process reported last.
-type observation struct {
-	version uint64
-	process int // its PID
-}
-
-// monitor checks the hosts during a run.
-type monitor struct {
-	site *site.Site
-	// versions holds the last observation by name of the host.
-	versions map[string]observation
-	// reportedLate holds the hosts for which a violation of ConfigBound has been
-	// recorded; there is at most one for each host.
-	reportedLate map[string]bool
-	// newest is the newest version of the configuration, since the time when the
-	// monitor first saw it.
-	newest uint64
-	since  time.Time
-	// memory in bytes, descriptors and flows are the limits of a host.
-	memory      int64
-	descriptors int
-	flows       int
-}
-
-func newMonitor(s *site.Site) *monitor {
-	return &monitor{
-		site: s, versions: make(map[string]observation), reportedLate: make(map[string]bool),
-		memory: maxMemory, descriptors: maxDescriptors, flows: maxRemainingFlows,
-	}
-}
-
-// pollInterval is the time between two polls of the hosts.
-const pollInterval = 250 * time.Millisecond
-
-// pollUntil polls the hosts periodically until the given time.
-func (m *monitor) pollUntil(ctx context.Context, end time.Time) {
-	for time.Now().Before(end) && ctx.Err() == nil {
-		m.poll()
-		time.Sleep(min(pollInterval, max(0, time.Until(end))))
-	}
-}
-
-// poll checks the configuration version of all hosts that respond: it must never
-// decrease within a process, and must be the newest once both that and the process
-// are older than ConfigBound, unless the checks with time bounds are suspended.
-func (m *monitor) poll() {
-	if v := m.site.Version(); v != m.newest {
-		m.newest, m.since = v, time.Now()
-	}
-	late := time.Since(m.since) > site.ConfigBound
-	for _, h := range m.site.Hosts() {
-		process := h.PID()
-		var status adminapi.Status
-		if err := getJSON(h, adminapi.PathStatus, &status); err != nil || h.PID() != process {
-			continue
-		}
-		old := m.versions[h.Name]
-		if old.process == process && status.Version < old.version {
-			m.site.RecordViolation(fmt.Sprintf("%s went back from version %d to %d", h.Name, old.version, status.Version))
-		}
-		m.versions[h.Name] = observation{status.Version, process}
-		if late && m.site.BoundsApply() && m.site.Version() == m.newest && status.Version != m.newest && h.Age() > site.ConfigBound && !m.reportedLate[h.Name] {
-			m.reportedLate[h.Name] = true
-			m.site.RecordViolation(fmt.Sprintf("%s has version %d, newest is %d for %s", h.Name, status.Version, m.newest, time.Since(m.since)))
-		}
-	}
-}
-
-// getJSON decodes the response of the host's admin listener to a GET request.
-func getJSON(h *site.Host, path string, into any) error {
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + h.Admin().String() + path)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	return json.NewDecoder(response.Body).Decode(into)
-}
-
 // checkRecovered checks that callers are served again after the last fault.
 func (m *monitor) checkRecovered() {
 	total := m.site.Last(recoveryWindow)
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -111,10 +111,14 @@
 }
 
 // restoreStore makes the store silent for a part of the span and then brings it back
-// from a copy that is up to 5 s old.
+// from a copy that is up to 5 s old. A store that states no incarnation loses nothing.
 func restoreStore(s *site.Site, f Fault) {
 	s.Store.SetFaults(kv.Faults{Silent: true, Pause: true})
 	time.AfterFunc(f.Span/4, func() {
+		if !s.Store.StatesIncarnation() {
+			s.Store.SetFaults(kv.Faults{})
+			return
+		}
 		s.RestoreStore(time.Duration(f.Level) * 50 * time.Millisecond)
 		s.Store.SetFaults(kv.Faults{})
 	})
@@ -156,7 +160,7 @@
 
 // kindNamed returns the kind with the name. It panics if there is none.
 func kindNamed(name string) kind {
-	all := slices.Concat(kinds, coldKinds)
+	all := slices.Concat(kinds, coldKinds, storeKinds)
 	i := slices.IndexFunc(all, func(k kind) bool { return k.name == name })
 	return all[i]
 }
@@ -165,17 +169,20 @@
 type Schedule struct {
 	Seed   uint64  `json:"seed"`
 	Faults []Fault `json:"faults"`
+	// Conditions are those of the store during the whole run.
+	Conditions Conditions `json:"conditions"`
 }
 
 // maxFaults is the maximum number of faults in a schedule.
 const maxFaults = 14
 
 // NewSchedule draws faults from the seed. They start within the span, which begins
-// 1 s after the start of the load, and may overlap.
-func NewSchedule(seed uint64, span time.Duration) Schedule {
+// 1 s after the start of the load, and may overlap. With storeKinds a seed means another
+// schedule than without, as more kinds are drawn, and conditions of the store.
+func NewSchedule(seed uint64, span time.Duration, storeKinds bool) Schedule {
 	rng := rand.New(rand.NewPCG(seed, 4))
 	s := Schedule{Seed: seed}
-	drawn := drawnKinds()
+	drawn := drawnKinds(storeKinds)
 	for range 3 + rng.IntN(maxFaults-2) {
 		f := Fault{
 			At:     time.Second + time.Duration(rng.Int64N(int64(span))),
@@ -190,15 +197,22 @@
 		s.Faults = append(s.Faults, f)
 	}
 	slices.SortFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	if storeKinds {
+		s.Conditions = drawConditions(seed)
+	}
 	return s
 }
 
 // drawnKinds returns the kinds of which schedules are drawn.
-func drawnKinds() []kind {
+func drawnKinds(withStoreKinds bool) []kind {
+	drawn := kinds
 	if drawColdStarts {
-		return slices.Concat(kinds, coldKinds)
+		drawn = slices.Concat(drawn, coldKinds)
+	}
+	if withStoreKinds {
+		drawn = slices.Concat(drawn, storeKinds)
 	}
-	return kinds
+	return drawn
 }
 
 // host returns the host that the fault selects.
@@ -208,6 +222,7 @@
 // and records a violation if that takes longer than site.StopBound.
 func stopHost(s *site.Site, f Fault) {
 	h := host(s, f)
+	h.Harm(0)
 	go func() {
 		if h.Running() && !h.Stop() {
 			s.RecordViolation("graceful shutdown of " + h.Name + " took too long")
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -212,6 +212,8 @@
 
 // TestSchedulesRepeat: a schedule is determined by its seed.
 func TestSchedulesRepeat(t *testing.T) {
-	require.Equal(t, NewSchedule(7, time.Second), NewSchedule(7, time.Second))
-	require.NotEqual(t, NewSchedule(7, time.Second), NewSchedule(8, time.Second))
+	for _, storeKinds := range []bool{false, true} {
+		require.Equal(t, NewSchedule(7, time.Second, storeKinds), NewSchedule(7, time.Second, storeKinds))
+		require.NotEqual(t, NewSchedule(7, time.Second, storeKinds), NewSchedule(8, time.Second, storeKinds))
+	}
 }
--- a/standin/soak/text.go
+++ b/standin/soak/text.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 )
 
@@ -15,9 +17,11 @@
 	fmt.Fprintf(&b, "seed %d: %s; %d faults; %d asked, %d answered, %d failed; median %.1f ms, p99 %.1f ms\n",
 		r.Schedule.Seed, verdict, len(r.Schedule.Faults), r.Total.Asked, r.Total.Answered, r.Total.Failed,
 		r.MedianUs/1000, r.P99Us/1000)
+	fmt.Fprintf(&b, "  in force   %s\n  beside     %s\n", tallies(r.Checks), tallies(r.Beside))
 	if len(r.Violations) == 0 {
 		return b.String()
 	}
+	fmt.Fprintf(&b, "  conditions %+v\n", r.Schedule.Conditions)
 	for _, f := range r.Faults {
 		fmt.Fprintf(&b, "  fault      %s\n", f)
 	}
@@ -27,3 +31,13 @@
 	fmt.Fprintf(&b, "  logs in %s\n", r.Directory)
 	return b.String()
 }
+
+// tallies lists the checks in force of all checks, by name.
+func tallies(byName map[string]Tally) string {
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		t := byName[name]
+		list = append(list, fmt.Sprintf("%s %d of %d", name, t.InForce, t.InForce+t.Suspended))
+	}
+	return strings.Join(list, ", ")
+}
