relayd: Act on an old state: leave the rotation or try the next source

Cause: a host whose state has stopped becoming current stays in the rotation and waits for the source that it has. A feed that sends messages but never a state of a known age is followed for ever (TestFeedThatStatesNoAge never ends without this change), and a call to the store that does not end at its time-out keeps the host from asking others.

Change: while the control goroutine is in one task and the state is old, the host is not ready for callers, reason "state is old". With other reasons, such as an outage of the store, it stays ready, as the others know no more. The monitor interrupts a call or a feed that lasts for longer than two thirds of the bound on changes without receiving anything, or a feed that sends for 10 s and never a current state, at most once per bound, and logs 9030; the next source is tried. Calls in an outage end by their own time-outs before. An answer that is arriving is waited for: the store's client and the feed's client report what they receive. A host can't find out that a peer's state is frozen if that peer states an age that does not grow.

Without the interruption, without trying the next source after it, and without the readiness, one test each fails.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -45,7 +45,7 @@
 		{EndpointRecovered, slog.LevelInfo, "handshakes with the endpoint complete again", "None."},
 		{LogLinesSuppressed, slog.LevelWarn, "log lines suppressed", "None; the counters on the metrics address are complete."},
 		{RelayReady, slog.LevelInfo, "ready for callers", "None."},
-		{RelayUnready, slog.LevelWarn, "not ready for callers", "See the reason: no configuration, no endpoint, or a graceful shutdown."},
+		{RelayUnready, slog.LevelWarn, "not ready for callers", "See the reason: no configuration, no endpoint, a graceful shutdown, or a state that is old since the host can't apply changes (event 9028)."},
 		{SettingsReloaded, slog.LevelInfo, "settings reloaded", "None; a change of addresses requires a restart."},
 		{SettingsRefused, slog.LevelError, "changed settings rejected", "Correct the file; the previous settings stay in force."},
 		{SendFailed, slog.LevelWarn, "datagram not sent", "Check the network interface and the link's load."},
@@ -95,6 +95,7 @@
 	EvacuationRemoved
 	StateOld
 	StateCurrent
+	SourceInterrupted
 )
 
 var followerArea = Area{
@@ -130,5 +131,6 @@
 		{EvacuationRemoved, slog.LevelInfo, "evacuation of a failure domain removed", "None; with held_for above 0 it stays in force for that long, since the store may have lost it."},
 		{StateOld, slog.LevelWarn, "state of the store is old", "See the reason in docs/OPERATIONS.md; until event 9029 the host forwards by what it knew."},
 		{StateCurrent, slog.LevelInfo, "state of the store is current again", "See the reason and old_for; changes of that time were in force late at this host."},
+		{SourceInterrupted, slog.LevelWarn, "source of the store's state interrupted to try the next one", "See the source and attempt_for; a call or a feed should have ended by itself before. Report it with the lines before it."},
 	},
 }
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -38,6 +38,9 @@
 	OnConnected func()
 	// OnBatch receives the peer's updates.
 	OnBatch func(follow.Batch)
+	// OnMessage, if not nil, is called after each message from the peer, also one that holds
+	// a part of an update.
+	OnMessage func()
 	// OnTransfer, if not nil, receives the size of each update in bytes and the time
 	// from its first byte to its last one.
 	OnTransfer func(bytes int, took time.Duration)
@@ -155,6 +158,9 @@
 		}
 		return merry.Prepend(err, "read from the feed")
 	}
+	if c.OnMessage != nil {
+		c.OnMessage()
+	}
 	inParts := len(update.Part) > 0
 	if inParts {
 		update, took, err = c.parts.add(update, took)
--- a/internal/relayd/metrics.go
+++ b/internal/relayd/metrics.go
@@ -52,6 +52,7 @@
 	functional("view_incarnation", func() int64 { return int64(viewPosition().Incarnation) })
 	functional("state_old", d.staleness.old)
 	functional("state_old_times", d.staleness.times.Load)
+	functional("sources_interrupted", d.staleness.interruptions.Load)
 	functional("control_busy_milliseconds", func() int64 { return d.control.busyFor().Milliseconds() })
 	functional("store_answer_age_milliseconds", func() int64 {
 		return (d.clock.BootTime() - d.syncer.follower.LastResponse()).Milliseconds()
--- a/internal/relayd/monitor.go
+++ b/internal/relayd/monitor.go
@@ -14,7 +14,7 @@
 const stalenessInterval = 250 * time.Millisecond
 
 // stalenessMonitor reports when the host's state of the store is older than the bound on
-// changes, and why. It waits for no other goroutine, so that none can stop it.
+// changes, and why, and interrupts a source that does not make it current. It waits for no other goroutine, so that none can stop it.
 type stalenessMonitor struct {
 	syncer   *syncer
 	detector stalenessDetector
@@ -22,12 +22,16 @@
 	current atomic.Value
 	// times is how often the state has become old.
 	times atomic.Int64
+	// interruptions is how often a source was interrupted.
+	interruptions atomic.Int64
 }
 
 // newStalenessMonitor returns a monitor of the syncer's host, which must have changes in
 // force within the bound.
 func newStalenessMonitor(s *syncer, bound time.Duration) *stalenessMonitor {
-	m := &stalenessMonitor{syncer: s, detector: stalenessDetector{bound: bound, timings: s.timings}}
+	m := &stalenessMonitor{syncer: s, detector: stalenessDetector{
+		bound: bound, timings: s.timings, transferLimit: maxStaleTransfer,
+	}}
 	m.current.Store(staleReason(""))
 	return m
 }
@@ -59,6 +63,9 @@
 		store:      m.syncer.follower.Health(),
 		answeredAt: m.syncer.follower.LastResponse(),
 	}
+	if a := m.syncer.attempt.Load(); a != nil {
+		s.attemptAt, s.receivedAt = a.begunAt, max(time.Duration(a.receivedAt.Load()), s.source.updatedAt)
+	}
 	s.task, s.key = m.syncer.control.busy()
 	// No time of the snapshot is later than this.
 	s.now = m.syncer.clock.BootTime()
@@ -67,7 +74,7 @@
 
 func (m *stalenessMonitor) check() {
 	s := m.snapshot()
-	wasOld := m.detector.reason != ""
+	wasOld := m.detector.reported != ""
 	switch m.detector.update(&s) {
 	case staleBegun:
 		if !wasOld {
@@ -80,6 +87,11 @@
 			slog.Duration("old_for", oldFor), slog.Duration("view_age", s.age()))
 	}
 	m.current.Store(m.detector.reason)
+	if m.detector.interrupts(&s) {
+		m.interruptions.Add(1)
+		event.Log(m.syncer.logger, event.SourceInterrupted, append(m.attrs(&s), slog.Duration("attempt_for", s.now-s.attemptAt))...)
+		m.syncer.interrupt()
+	}
 }
 
 // attrs returns what distinguishes the reasons for an old state. Times that are unknown
--- a/internal/relayd/ready.go
+++ b/internal/relayd/ready.go
@@ -20,16 +20,20 @@
 
 // readiness answers readiness requests of routers.
 type readiness struct {
-	control  *control
-	logger   *slog.Logger
+	control *control
+	logger  *slog.Logger
+	// stale returns why the host's state is old, empty if it is not.
+	stale    func() staleReason
 	stopping atomic.Bool
 	// last is the last answer; asked means that there has been one.
 	last  atomic.Bool
 	asked atomic.Bool
 }
 
-// ready reports whether the host serves at least one route and is not shutting
-// down, and the reason if not.
+// ready reports whether the host serves at least one route, is not shutting down and
+// applies what it learns, and the reason if not. A host that learns nothing, as in an
+// outage of the store, stays ready: the others know no more. Routers use all hosts of a
+// domain if most are not ready, so that a cause that stops all hosts takes none away.
 func (r *readiness) ready() (bool, string) {
 	if r.stopping.Load() {
 		return false, "stopping"
@@ -41,6 +45,9 @@
 	if !view.Serves() {
 		return false, "no endpoint"
 	}
+	if r.stale() == reasonApplyingBusy {
+		return false, "state is old"
+	}
 	return true, ""
 }
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -94,6 +94,8 @@
 	}
 	d.syncer = d.newSyncer()
 	d.staleness = newStalenessMonitor(d.syncer, s.Bounds.ShortestChange())
+	d.ready.stale = d.staleness.reason
+	d.store.OnReceived(d.syncer.received)
 	d.registerGauges(d.registry)
 	return d, nil
 }
--- a/internal/relayd/source.go
+++ b/internal/relayd/source.go
@@ -13,7 +13,7 @@
 type sourceState struct {
 	name  string
 	since time.Duration
-	// updatedAt is when another host's last update came, 0 if none has.
+	// updatedAt is when another host's last message came, 0 if none has.
 	updatedAt time.Duration
 }
 
@@ -30,7 +30,7 @@
 	s.state = sourceState{name: name, since: now}
 }
 
-// update records that an update of the source has come.
+// update records that a message of the source has come.
 func (s *sourceStatus) update(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/relayd/staleness.go
+++ b/internal/relayd/staleness.go
@@ -43,6 +43,10 @@
 	store  follow.Health
 	// answeredAt is when an answer of the store was last read, 0 if none was.
 	answeredAt time.Duration
+	// attemptAt is when the syncer began to wait for the source that it uses now, 0 if it
+	// does not wait; receivedAt is when something of an answer arrived last since.
+	attemptAt  time.Duration
+	receivedAt time.Duration
 }
 
 func (s *stateSnapshot) age() time.Duration { return s.now - s.asOf }
@@ -71,9 +75,10 @@
 	// bound is the time within which changes must be in force.
 	bound   time.Duration
 	timings follow.Timings
-	// reason is the one reported last, empty while the state is current; reportedAt is
-	// when it was reported, oldSince when the state's age reached the bound.
+	// reason is empty while the state is current. reported is the one reported last,
+	// reportedAt when it was, and oldSince when the state's age reached the bound.
 	reason     staleReason
+	reported   staleReason
 	reportedAt time.Duration
 	oldSince   time.Duration
 	// checkedAt is the time of the last check, paused the time for which the process was
@@ -81,6 +86,10 @@
 	checkedAt time.Duration
 	paused    time.Duration
 	resumedAt time.Duration
+	// transferLimit is how long a source may send while the state stays old; interruptedAt
+	// is when one was interrupted last, 0 if none was.
+	transferLimit time.Duration
+	interruptedAt time.Duration
 }
 
 // update reports what has changed since the last check. While the reason changes often, it
@@ -93,21 +102,45 @@
 		}
 		return staleEnded
 	}
-	reason := d.reasonOf(s)
-	if reason == d.reason || d.reason != "" && s.now-d.reportedAt < d.bound {
-		return staleUnchanged
-	}
 	if d.reason == "" {
 		d.oldSince = s.asOf + d.bound
 	}
-	d.reason, d.reportedAt = reason, s.now
+	d.reason = d.reasonOf(s)
+	if d.reason == d.reported || d.reported != "" && s.now-d.reportedAt < d.bound {
+		return staleUnchanged
+	}
+	d.reported, d.reportedAt = d.reason, s.now
 	return staleBegun
 }
 
-// ended forgets the reason and returns it and for how long the state was old.
-func (d *stalenessDetector) ended(now time.Duration) (reason staleReason, oldFor time.Duration) {
-	reason, d.reason = d.reason, ""
-	return reason, now - d.oldSince
+// ended forgets the reason, and returns the one reported last and for how long the state
+// was old.
+func (d *stalenessDetector) ended(now time.Duration) (reported staleReason, oldFor time.Duration) {
+	reported, d.reported, d.reason = d.reported, "", ""
+	return reported, now - d.oldSince
+}
+
+// maxStaleTransfer is how long another host may send a complete state, which takes seconds
+// over a link that many hosts share, while this host's state is old.
+const maxStaleTransfer = 10 * time.Second
+
+// interrupts reports whether the syncer's attempt must end, so that it tries the next
+// source: the attempt lasts for longer than one without changes does, and has not made the
+// state current. An answer that arrives is waited for; calls to the store bound that by
+// themselves. It reports so at most once per bound, as reaching a source takes time.
+func (d *stalenessDetector) interrupts(s *stateSnapshot) bool {
+	switch {
+	case d.reason == "", d.reason == reasonApplyingBusy, s.asOf == 0, s.attemptAt == 0,
+		s.now-s.attemptAt <= d.timings.MaxAge,
+		d.interruptedAt > 0 && s.now-d.interruptedAt < d.bound:
+		return false
+	}
+	if s.now-s.receivedAt <= d.timings.SilenceTimeout &&
+		(s.source.name == storeSource || min(s.now-s.attemptAt, s.age()-d.bound) <= d.transferLimit) {
+		return false
+	}
+	d.interruptedAt = s.now
+	return true
 }
 
 // notePause detects that the process did not run. The time of a pause does not count for
--- a/internal/relayd/syncer.go
+++ b/internal/relayd/syncer.go
@@ -39,6 +39,8 @@
 	// receiving is the number of seeds that are connected and send their state.
 	receiving atomic.Int64
 	source    sourceStatus
+	// attempt is the one in progress, nil between attempts.
+	attempt atomic.Pointer[attempt]
 	// retryAt is when a host may be tried again, on the monotonic clock.
 	retryAt map[string]time.Duration
 }
@@ -52,8 +54,8 @@
 		if s.followPeers(ctx) {
 			continue
 		}
-		wait := s.follower.Step(ctx)
-		if s.follower.Lost() && s.control.age() > s.timings.MaxAge && s.followFallback(ctx) {
+		wait, interrupted := s.step(ctx, s.follower.Step)
+		if (interrupted || s.follower.Lost()) && s.control.age() > s.timings.MaxAge && s.followFallback(ctx) {
 			continue
 		}
 		sleep(ctx, wait)
@@ -185,7 +187,8 @@
 		event.Log(s.logger, event.FollowingStore)
 		// Reaching the next source takes time, so changes missed meanwhile are
 		// fetched from the store first.
-		sleep(ctx, s.follower.Poll(ctx))
+		wait, _ := s.step(ctx, s.follower.Poll)
+		sleep(ctx, wait)
 		return true
 	}
 	return false
@@ -228,9 +231,9 @@
 		OnConnected: func() {
 			event.Log(s.logger, event.FeedConnected, slog.String("host", peer.Name))
 		},
+		OnMessage:  func() { s.source.update(s.clock.BootTime()) },
 		OnTransfer: func(bytes int, took time.Duration) { s.recordTransfer(peer.Name, bytes, took) },
 		OnBatch: func(b follow.Batch) {
-			s.source.update(s.clock.BootTime())
 			useful = useful || !b.Partial && s.clock.BootTime()-b.AsOf <= s.timings.MaxAge
 			s.store.Observe(b.Position.Incarnation)
 			s.control.apply(ctx, b)
@@ -240,7 +243,10 @@
 	if peer.Domain == s.host.Domain && len(client.Secret) > 0 {
 		client.Exchange = s.exchange
 	}
-	err := client.Follow(limited, peer)
+	var err error
+	if s.try(limited, func(ctx context.Context) { err = client.Follow(ctx, peer) }) {
+		s.avoid(peer.Name)
+	}
 	event.Log(s.logger, event.FeedLost, slog.String("host", peer.Name), slog.String("error", err.Error()),
 		slog.Duration("view_age", s.control.age()))
 	return useful
