follow: Make another call after an answer that can't be used

Callers saw requests at endpoints that had been draining for more than 3 s, and hosts that forwarded by an old configuration while the store could be read. Cause: a watch that failed was repeated from the same position until the store dropped its history, whatever the reason. Each of these froze a host for that long: an answer that is malformed, cut off or trickles, one without the store's revision, a watch at one position that gets no answer, a reset or an error status while listings are answered. A page that fails kept a listing from ending, and no change from then on was known.

What was read of a broken answer now counts ahead of the position, which together with the age stands still, and the next call is another one: a listing after a watch that can't be read, the watch after a listing that can't. Watches without an answer lead to a probe of the configuration and a watch that does not wait; only if the probe is answered and that watch is not, to a listing. 503, 429 and outages lead to none. Listings in place of one watch after another are spaced by a third of the bound, and a host that reads by them has not lost the store: a recovery grace period after each would keep removed endpoints for ever. A listing that fails repeatedly or is slow delivers what it has, with later changes. Items without a readable revision, or with one above the store's, are placed, so that they do not hide later changes. A store that is behind the cursor twice in a row is listed.

The tests run the follower and the client against a store in memory and virtual time: 30 troubles for a host that runs, 29 for one that starts, answers of 5.6 to 150 MB.

Events 9032 to 9034 name unreadable items, answers and unanswered watches; the number of lines is bounded.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	@cat KNOWN-RED.txt
 	$(GO) test -timeout 40m -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $$($(GO) list ./... ./standin/... | grep -v standin/emu)
 	$(GO) test -timeout 40m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./standin/emu # one goroutine, nothing to race
-	$(GO) test -run AllocatesNothing ./internal/... ./platform
+	$(GO) test -run "AllocatesNothing|VeryLarge" ./internal/... ./platform
 
 # Prints the measurements behind docs/CAPACITY.md; takes about a minute on two
 # cores.
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -95,6 +95,13 @@
 	EvacuationRemoved
 )
 
+// The events of the follower area for answers of the store that can't be used.
+const (
+	StoreItemUnreadable ID = 9032 + iota
+	StoreAnswerUnreadable
+	StoreWatchUnanswered
+)
+
 var followerArea = Area{
 	Name: "follower",
 	Definitions: []Definition{
@@ -126,5 +133,8 @@
 		{FeedBufferUnlimited, slog.LevelWarn, "send buffer of a feed could not be limited", "None on a fast link; on a slow one, changes may come late while a large configuration is sent."},
 		{DomainEvacuated, slog.LevelInfo, "failure domain evacuated; its endpoints get no new flows", "None; open flows end by themselves."},
 		{EvacuationRemoved, slog.LevelInfo, "evacuation of a failure domain removed", "None; with held_for above 0 it stays in force for that long, since the store may have lost it."},
+		{StoreItemUnreadable, slog.LevelWarn, "items of the store can't be read", "Find out what wrote the first key; the other items count. Without a key, the store's answer itself was malformed."},
+		{StoreAnswerUnreadable, slog.LevelWarn, "answer of the store can't be read to its end", "Check the store if it repeats; what was read counts, and the host reads the rest by another call."},
+		{StoreWatchUnanswered, slog.LevelWarn, "watch gets no answer while the store can be read; all keys are read instead", "Check the store's watches if it repeats; each such reading is a listing of all keys."},
 	},
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +45,20 @@
 	// cursor is the position at which the next watch continues; zero means that a
 	// listing is due.
 	cursor catalog.Position
+	// next is the next call, if no listing is due for another reason.
+	next call
+	// unanswered counts the watches without an answer since the last one with an answer,
+	// outdated those in a row that stated an earlier position than the cursor.
+	unanswered, outdated int
+	// probeTook is how long the last probe took.
+	probeTook time.Duration
+	// malformed counts the answers that could not be read to their end since the last
+	// watch that could. incomplete is set if the last call had such an answer.
+	malformed  int
+	incomplete bool
+	// listings counts the complete listings since the last watch that could be read.
+	listings int
+	items    itemReport
 	// partial is a listing of which pages are missing.
 	partial *listing
 	// listedOnce is set once a complete listing has been read since the start.
@@ -66,10 +79,14 @@
 
 // Resume lets the next step continue from the position, up to which another
 // source has brought changes meanwhile.
-func (f *Follower) Resume(position catalog.Position) { f.cursor = f.cursor.Max(position) }
+func (f *Follower) Resume(position catalog.Position) {
+	if position.After(f.cursor) {
+		f.cursor, f.next = position, callWatch
+	}
+}
 
 // Lost reports whether the last call failed.
-func (f *Follower) Lost() bool { return f.lost }
+func (f *Follower) Lost() bool { return f.lost || f.incomplete }
 
 // Step makes one call that waits for changes, or a listing if one is due, and
 // returns how long to wait before the next step; 0 once the context has ended. A
@@ -102,25 +119,51 @@
 		return 0
 	}
 	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, errRestored) {
-		// The next step, without delay, is a listing.
+		// The next step is a listing.
 		f.cursor, f.partial = catalog.Position{}, nil
-		return 0
+		return f.listingDelay()
 	}
 	if err != nil {
 		return f.failed(started, err)
 	}
+	f.incomplete = false
+	if f.next == callPoll {
+		// The probe only tells which call is next.
+		return 0
+	}
 	f.backoff.Reset()
-	return max(0, f.Timings.MinInterval-(f.BootTime()-started))
+	wait = max(0, f.Timings.MinInterval-(f.BootTime()-started))
+	if f.next == callList {
+		return max(wait, f.listingDelay())
+	}
+	return wait
 }
 
 func (f *Follower) call(ctx context.Context, wait time.Duration) error {
 	if f.cursor.IsZero() || f.Store.Incarnation() > f.cursor.Incarnation {
 		return f.list(ctx)
 	}
-	return f.watch(ctx, wait)
+	switch f.next {
+	case callList:
+		// A listing that fails alternates with the watch that it stands for.
+		f.next = callWatch
+		return f.list(ctx)
+	case callProbe:
+		return f.probe(ctx)
+	case callPoll:
+		// A slow store needs as long for this answer as for that to the probe.
+		slack := min(f.Timings.WatchSlack+2*f.probeTook, f.Timings.CallTimeout)
+		return f.watch(ctx, minWait, slack)
+	default:
+		return f.watch(ctx, wait, f.Timings.WatchSlack)
+	}
 }
 
 func (f *Follower) failed(started time.Duration, err error) time.Duration {
+	if f.incomplete = unreadable(err); f.incomplete {
+		f.logUnreadable(err)
+		return max(f.backoff.Next(), f.listingDelay())
+	}
 	if !f.lost {
 		f.lost, f.lostAt = true, started
 		event.Log(f.Logger, event.StoreLost, slog.String("error", err.Error()), logPosition(f.cursor))
@@ -139,154 +182,46 @@
 	return true
 }
 
-// listing is a partially read listing.
-type listing struct {
-	batch Batch
-	// startedAt is when its first page was asked for.
-	startedAt time.Duration
-	// after is the last key that was read.
-	after string
-	// caughtUp is the position up to which the batch holds later changes.
-	caughtUp catalog.Position
-}
-
-const (
-	// listingLifetime is how long a listing may be resumed after a page has failed.
-	// The store's history must still hold what has changed since its first page.
-	listingLifetime = 10 * time.Second
-	// maxTransfer is how long an answer of the store may take while it keeps arriving: a
-	// configuration of 1 MB takes a second on a link of 10 Mbit/s that carries nothing
-	// else.
-	maxTransfer = 10 * time.Second
-)
-
-// list reads all keys. The pages together are not a snapshot: the batch is
-// complete up to the first page's revision, at which the watch continues. When
-// many hosts start at once the store rejects some of their calls; a listing
-// with a failed page resumes at that page in the next step.
-func (f *Follower) list(ctx context.Context) error {
-	if f.partial == nil || f.BootTime()-f.partial.startedAt > listingLifetime {
-		now := f.BootTime()
-		f.partial = &listing{batch: Batch{Complete: true, AsOf: now}, startedAt: now}
-	}
-	l := f.partial
-	for range maxPages {
-		page, err := f.page(ctx, l.after)
-		if err != nil {
-			return err
-		}
-		if page.More && len(page.Items) == 0 {
-			return merry.New("page of a listing is empty but not the last")
-		}
-		f.lastResponse.Store(int64(f.BootTime()))
-		if l.batch.Position.IsZero() {
-			l.batch.Position = page.Position()
-		}
-		if page.Incarnation != l.batch.Position.Incarnation {
-			return errRestored
-		}
-		for _, item := range page.Items {
-			l.batch.Changes = append(l.batch.Changes, platform.Change{Item: item})
-			l.after = item.Key
-		}
-		if err := f.deliverPart(ctx, l, page); err != nil {
-			return err
-		}
-		if !page.More {
-			f.partial, f.listedOnce = nil, true
-			l.batch.Reconnected = f.reconnected()
-			if err := f.catchUp(ctx, l); err != nil {
-				return err
-			}
-			f.cursor = l.batch.Position.Max(l.caughtUp)
-			event.Log(f.Logger, event.StoreListed, slog.Int("keys", len(l.batch.Changes)), logPosition(l.batch.Position))
-			f.OnBatch(l.batch)
-			return nil
-		}
-	}
-	f.partial = nil
-	return merry.New("listing exceeds the maximum number of pages")
-}
-
-// deliverPart passes on the first of several pages at a start: it holds the
-// configuration and some endpoints, by which the host can serve while it reads the
-// rest. While that takes long, it passes on what has changed since.
-func (f *Follower) deliverPart(ctx context.Context, l *listing, page platform.Page) error {
-	if f.listedOnce || !page.More {
-		return nil
-	}
-	part := Batch{Partial: true, Position: catalog.Position{Incarnation: page.Incarnation}}
-	if len(l.batch.Changes) == len(page.Items) {
-		part.Changes = slices.Clone(l.batch.Changes)
-	} else {
-		asOf := l.batch.AsOf
-		if err := f.catchUp(ctx, l); err != nil || l.batch.AsOf == asOf {
-			return err
-		}
-		part.Changes = slices.Clone(l.batch.Later)
-	}
-	f.OnBatch(part)
-	return nil
-}
-
 // LastResponse returns when the store last responded, on the boot-time clock; 0 if
 // it never did. Unlike the other methods it may be called from any goroutine.
 func (f *Follower) LastResponse() time.Duration { return time.Duration(f.lastResponse.Load()) }
 
-// page reads one page, for as long as it keeps arriving: when many hosts start at once
-// the store's link is full, and repeating the request would fill it with the same pages.
-func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxTransfer)
-	defer cancel()
-	return f.Store.List(ctx, platform.AllKeys, after, f.Timings.CallTimeout)
-}
-
-// catchUp adds to a slow listing what has changed since its first page, so that
-// a host does not start with an old configuration. The error is errRestored if the
-// store was restored meanwhile.
-func (f *Follower) catchUp(ctx context.Context, l *listing) error {
-	b, started := &l.batch, f.BootTime()
-	if started-b.AsOf <= f.Timings.MinInterval {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, maxTransfer)
-	defer cancel()
-	changes, err := f.Store.Watch(ctx, platform.AllKeys, b.Position.Revision, minWait, f.Timings.CallTimeout)
-	if f.Store.Incarnation() > b.Position.Incarnation {
-		return errRestored
-	}
-	if err != nil {
-		// The batch states its age, and the next step is a watch again.
-		event.Log(f.Logger, event.ListingStale, slog.Duration("age", f.BootTime()-b.AsOf), slog.String("error", err.Error()))
-		return nil
-	}
-	b.Later, b.AsOf, l.caughtUp = changes.Changes, started, changes.Position()
-	return nil
-}
-
 // watch waits for changes, and for as long as they keep arriving. An answer without changes is current as of the end
 // of the store's wait, one with changes only as of the time of the call.
-func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
+func (f *Follower) watch(ctx context.Context, wait, slack time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+maxTransfer)
 	defer cancel()
 	started := f.BootTime()
-	changes, err := f.Store.Watch(ctx, platform.AllKeys, f.cursor.Revision, wait, f.Timings.WatchSlack)
-	if err != nil {
+	changes, err := f.Store.Watch(ctx, platform.AllKeys, f.cursor.Revision, wait, slack)
+	if err != nil && !unreadable(err) {
+		f.next = f.afterFailedWatch(err)
 		return err
 	}
 	if changes.Incarnation != f.cursor.Incarnation {
 		// The revisions since the cursor are of other changes.
 		return errRestored
 	}
+	read := f.usable(placed(changes, f.cursor.Revision), changes.Skipped)
+	if err != nil {
+		f.next = callList
+		f.deliverAhead(changes.Incarnation, read)
+		return err
+	}
 	f.lastResponse.Store(int64(f.BootTime()))
+	f.unanswered, f.next = 0, f.afterWatch(changes)
+	if f.next == callList || f.outdated > 0 {
+		f.deliverAhead(changes.Incarnation, read)
+		return nil
+	}
 	asOf := started
 	if len(changes.Changes) == 0 {
 		asOf = min(started+wait, f.BootTime())
 	}
+	f.malformed, f.listings = 0, 0
 	f.cursor = f.cursor.Max(changes.Position())
 	f.changedLast, f.asOf = len(changes.Changes) > 0, asOf
 	f.OnBatch(Batch{
-		Changes:     changes.Changes,
+		Changes:     read,
 		Position:    f.cursor,
 		AsOf:        asOf,
 		Reconnected: f.reconnected(),
