--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -98,6 +98,13 @@
 	SourceInterrupted
 )
 
+// The events of the follower area for answers of the store that can't be used.
+const (
+	StoreItemUnreadable ID = 9032 + iota
+	StoreAnswerUnreadable
+	StoreWatchUnanswered
+)
+
 // Events of the follower area on what its state lacks.
 const (
 	MissingKeysFound ID = 9035 + iota
@@ -137,6 +144,9 @@
 		{StateOld, slog.LevelWarn, "state of the store is old", "See the reason in docs/OPERATIONS.md; until event 9029 the host forwards by what it knew."},
 		{StateCurrent, slog.LevelInfo, "state of the store is current again", "See the reason and old_for; changes of that time were in force late at this host."},
 		{SourceInterrupted, slog.LevelWarn, "source of the store's state interrupted to try the next one", "See the source and attempt_for; a call or a feed should have ended by itself before. Report it with the lines before it."},
+		{StoreItemUnreadable, slog.LevelWarn, "items of the store can't be read", "Find out what wrote the first key; the other items count. Without a key, the store's answer itself was malformed."},
+		{StoreAnswerUnreadable, slog.LevelWarn, "answer of the store can't be read to its end", "Check the store if it repeats; what was read counts, and the host reads the rest by another call."},
+		{StoreWatchUnanswered, slog.LevelWarn, "watch gets no answer while the store can be read; all keys are read instead", "Check the store's watches if it repeats; each such reading is a listing of all keys."},
 		{MissingKeysFound, slog.LevelWarn, "state that counted as complete lacked keys; a complete state has brought them", "Find out by the lines before it which host or listing brought the state without them."},
 	},
 }
