platform client: Read ranges again after a message that can't be read

A watch session that ended by a message of another form, or one that was cut off or stopped in its middle, was opened again at the same revision, for the same message, for ever: the host's watcher reported no later change. A listing whose page of 1000 keys exceeds 4 MB was asked for again with as many keys. A message that takes longer than the idle timeout to arrive, as a large one over a slow link, was begun anew each time.

After such a message the ranges are read again, with a backoff that grows until a change has come from a stream, and within the call-rate budget. A page that is too large is asked for with a quarter of the keys. The idle timeout begins anew with each KB of a message.

--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -69,15 +69,19 @@
 
 // attempt sends the request once to the current address, with the client's
 // timeout.
-func (c *Client) attempt(ctx context.Context, path string, body []byte, result any) error {
+func (c *Client) attempt(ctx context.Context, path string, request []byte, result any) error {
 	ctx, cancel := withTimeout(ctx, c.options.Clock, c.options.Timeout)
 	defer cancel()
-	response, index, err := c.post(ctx, c.calls, path, body)
+	response, index, err := c.post(ctx, c.calls, path, request)
 	if err != nil {
 		return err
 	}
 	defer closeBody(response.Body)
-	err = json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(result)
+	body := &io.LimitedReader{R: response.Body, N: maxResponseBytes}
+	err = json.NewDecoder(body).Decode(result)
+	if err != nil && body.N <= 0 {
+		return merry.Wrap(errTooLarge)
+	}
 	if err != nil {
 		c.recordFailure(index)
 		return merry.Prepend(err, "decode response")
@@ -137,6 +141,9 @@
 	if errors.As(err, &status) && status.status < http.StatusInternalServerError {
 		return merry.Wrap(rejection(status), merry.WithCause(err))
 	}
+	if policy == idempotent && errors.Is(err, errTooLarge) {
+		return merry.Wrap(ErrRejected, merry.WithCause(err))
+	}
 	if policy == idempotent || failedToConnect(err) {
 		return merry.Wrap(ErrUnreachable, merry.WithCause(err))
 	}
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -33,6 +33,7 @@
 var (
 	errTimeout   = merry.Sentinel("call timed out")
 	errCompacted = merry.Sentinel("revision has been compacted")
+	errTooLarge  = merry.Sentinel("response is too large")
 )
 
 // ConflictError describes the entry that a write found instead of one at the
--- a/internal/platform/kv.go
+++ b/internal/platform/kv.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -83,13 +84,19 @@
 	return listing, merry.Prependf(err, "list keys %q", prefix)
 }
 
-// list reads a range page by page at the revision of the first page.
+// list reads a range page by page at the revision of the first page. Pages are bounded by
+// their number of keys, so that one of large values is asked for again with fewer keys.
 func (c *Client) list(ctx context.Context, request gateway.RangeRequest) (Listing, error) {
 	request.Limit = pageSize
 	var listing Listing
 	for {
 		var page gateway.RangeResponse
-		if err := c.call(ctx, gateway.PathRange, request, &page, idempotent); err != nil {
+		err := c.call(ctx, gateway.PathRange, request, &page, idempotent)
+		if errors.Is(err, errTooLarge) && request.Limit > 1 {
+			request.Limit = max(1, request.Limit/4)
+			continue
+		}
+		if err != nil {
 			return Listing{}, err
 		}
 		if listing.Revision == 0 {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 
 	"github.com/ansel1/merry/v2"
@@ -72,12 +73,14 @@
 var (
 	errIdleTimeout      = merry.Sentinel("watch received no message before the idle timeout")
 	errRevisionWentBack = merry.Sentinel("platform's revision is lower than one seen before")
+	errUnreadable       = merry.Sentinel("message of the watch can't be read")
 )
 
 // Watch reports the content of the ranges and every change from then on, over
 // one connection. It continues after failures: it resumes after the last
-// revision seen, and reads the range again when that history was compacted or
-// the platform's revision is lower. The channel is closed after ctx has ended.
+// revision seen, and reads the range again when that history was compacted, the
+// platform's revision is lower, or a message can't be read or does not arrive
+// whole. The channel is closed after ctx has ended.
 func (c *Client) Watch(ctx context.Context, ranges ...Range) <-chan Change {
 	w := &watcher{
 		client:       c,
@@ -98,6 +101,9 @@
 	nextRevision []int64
 	// failures counts failed sessions since a watch was last established.
 	failures int
+	// unreadable counts the sessions that ended by an unreadable message since a change was
+	// reported from a stream.
+	unreadable int
 	// reportedDown is set if ChangeDown was reported and ChangeUp was not yet.
 	reportedDown bool
 	out          chan Change
@@ -115,11 +121,14 @@
 			continue
 		}
 		w.failures++
+		if errors.Is(err, errUnreadable) {
+			w.unreadable++
+		}
 		if !hasResponded(err) {
 			w.reportedDown = true
 			w.send(ctx, Change{Kind: ChangeDown, Err: err})
 		}
-		if Sleep(ctx, w.client.options.Clock, w.client.Backoff(w.failures, MaxBackoff)) != nil {
+		if Sleep(ctx, w.client.options.Clock, w.client.Backoff(max(w.failures, w.unreadable), MaxBackoff)) != nil {
 			return
 		}
 	}
@@ -128,7 +137,7 @@
 // hasResponded reports whether a session ended by a response of the platform, so
 // that the platform isn't down.
 func hasResponded(err error) bool {
-	return errors.Is(err, errCompacted) || errors.Is(err, errRevisionWentBack)
+	return errors.Is(err, errCompacted) || errors.Is(err, errRevisionWentBack) || errors.Is(err, errUnreadable)
 }
 
 // session reads the ranges without a known revision, opens a stream and reports
@@ -144,7 +153,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	return w.receive(ctx, cancel, json.NewDecoder(response.Body))
+	return w.receive(ctx, cancel, response.Body)
 }
 
 // reset reads and reports every range without a known revision.
@@ -203,14 +212,21 @@
 	return response, nil
 }
 
-// receive reports messages until the stream ends or the idle timeout expires.
-func (w *watcher) receive(ctx context.Context, cancel context.CancelCauseFunc, decoder *json.Decoder) error {
+// receive reports messages until the stream ends or the idle timeout expires. After a
+// message that can't be read the ranges are read again: the stream would begin with the
+// same message.
+func (w *watcher) receive(ctx context.Context, cancel context.CancelCauseFunc, body io.Reader) error {
+	idle := &idleReader{body: body, client: w.client, expire: func() { cancel(errIdleTimeout) }}
+	decoder := json.NewDecoder(idle)
 	for {
-		idle := w.client.Jitter(w.client.options.WatchIdle)
-		stop := w.client.options.Clock.AfterFunc(idle, func() { cancel(errIdleTimeout) })
+		idle.start()
 		var message gateway.WatchResponse
 		err := decoder.Decode(&message)
-		stop()
+		idle.stop()
+		if err != nil && (idle.err == nil || idle.read-decoder.InputOffset() > maxSpace) {
+			clear(w.nextRevision)
+			return merry.Wrap(errUnreadable, merry.WithCause(err))
+		}
 		if errors.Is(context.Cause(ctx), errIdleTimeout) {
 			return errIdleTimeout
 		}
@@ -226,6 +242,43 @@
 	}
 }
 
+// maxSpace is the number of bytes between two messages, at most.
+const maxSpace = 8
+
+// minProgress is how much of a message must arrive within the idle timeout, in bytes: a
+// large message over a slow link takes longer than that as a whole.
+const minProgress = 1 << 10
+
+// idleReader reads a stream and calls expire after the idle timeout.
+type idleReader struct {
+	body   io.Reader
+	client *Client
+	expire func()
+	stop   func() bool
+	// read is the number of bytes read, progress their number at the start of the timeout.
+	read, progress int64
+	// err is the error of the stream, if it has ended.
+	err error
+}
+
+// start starts the timeout.
+func (r *idleReader) start() {
+	r.progress = r.read
+	r.stop = r.client.options.Clock.AfterFunc(r.client.Jitter(r.client.options.WatchIdle), r.expire)
+}
+
+// Read implements io.Reader.
+func (r *idleReader) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	r.read += int64(n)
+	r.err = err
+	if r.read-r.progress >= minProgress {
+		r.stop()
+		r.start()
+	}
+	return n, err
+}
+
 // handle reports one message of the stream.
 func (w *watcher) handle(ctx context.Context, result gateway.WatchResult) error {
 	i := int(result.WatchID) - 1
@@ -270,6 +323,7 @@
 		if !w.send(ctx, change) {
 			return context.Cause(ctx)
 		}
+		w.unreadable = 0
 		w.nextRevision[i] = max(w.nextRevision[i], event.KV.ModRevision+1)
 	}
 	return nil
