kv: Bound the pages of a listing by the size of their values

Another writer's entries of 1 MB came in one page of a listing, which the platform's store bounds at about 1 MB: a trial of this kind failed at hosts for a reason that can't occur.

--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -19,6 +19,9 @@
 // defaultPageSize is the maximum number of items in a page of a listing.
 const defaultPageSize = 500
 
+// pageBytes is the size of the values at which a page of a listing ends.
+const pageBytes = 1 << 20
+
 // Store is an in-memory store. It is safe for concurrent use.
 type Store struct {
 	mu       sync.Mutex
@@ -286,9 +289,14 @@
 		}
 	}
 	slices.Sort(keys)
-	page.More = len(keys) > s.pageSize
-	for _, key := range keys[:min(len(keys), s.pageSize)] {
+	size := 0
+	for i, key := range keys {
+		if i >= s.pageSize || size >= pageBytes {
+			page.More = true
+			break
+		}
 		page.Items = append(page.Items, s.items[key])
+		size += len(s.items[key].Value)
 	}
 	return page
 }
--- a/standin/kv/kv_test.go
+++ b/standin/kv/kv_test.go
@@ -76,3 +76,18 @@
 	require.Len(t, body["items"], 2)
 	require.Equal(t, true, body["HasMore"])
 }
+
+// TestPagesOfLargeValues: a page without a limit in bytes would show faults of hosts that the
+// platform's store can't cause.
+func TestPagesOfLargeValues(t *testing.T) {
+	s := New()
+	require.True(t, s.PutAll([]string{"a", "b", "c"}, make([]byte, pageBytes/2)))
+	body, _, err := get(t, s, "kv-range?Prefix=")
+	require.NoError(t, err)
+	require.Len(t, body["items"], 2)
+	require.Equal(t, true, body["HasMore"])
+	body, _, err = get(t, s, "kv-range?Prefix=&after=b")
+	require.NoError(t, err)
+	require.Len(t, body["items"], 1)
+	require.Equal(t, false, body["HasMore"])
+}
