follow: Give calls the time that the store takes to answer

Callers saw: flows at draining endpoints and by old configurations, at all hosts, while the store answered late.

Cause: the time limits of calls were fixed. A watch after an answer with changes waits 1 ms, so that its whole limit was 376 ms; a failure changed nothing that this is computed from, so a store that answered 0.45 s late was never read again. Listings had 1 s in the same way.

Change: the limit of a watch follows the time that answers take beyond the wait, which is shortened by as much; listings and probes get more time after each second one that was not answered. At most the bound on changes.

--- a/internal/follow/calls.go
+++ b/internal/follow/calls.go
@@ -86,11 +86,12 @@
 	defer cancel()
 	started := f.BootTime()
 	f.next = callWatch
-	page, err := f.Store.List(ctx, platform.ConfigurationPrefix, "", f.Timings.CallTimeout)
+	page, err := f.Store.List(ctx, platform.ConfigurationPrefix, "", f.pace.callLimit(f.Timings))
+	f.pace.called(f.BootTime()-started, err)
 	if err != nil && !unreadable(err) {
 		return err
 	}
-	f.next, f.probeTook = callPoll, f.BootTime()-started
+	f.next = callPoll
 	l := listing{}
 	f.addPage(&l, page)
 	f.deliverAhead(page.Incarnation, l.batch.Changes)
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -50,8 +50,7 @@
 	// unanswered counts the watches without an answer since the last one with an answer,
 	// outdated those in a row that stated an earlier position than the cursor.
 	unanswered, outdated int
-	// probeTook is how long the last probe took.
-	probeTook time.Duration
+	pace                 pace
 	// malformed counts the answers that could not be read to their end since the last
 	// watch that could. incomplete is set if the last call had such an answer.
 	malformed  int
@@ -156,11 +155,9 @@
 	case callProbe:
 		return f.probe(ctx)
 	case callPoll:
-		// A slow store needs as long for this answer as for that to the probe.
-		slack := min(f.Timings.WatchSlack+2*f.probeTook, f.Timings.CallTimeout)
-		return f.watch(ctx, minWait, slack)
+		return f.watch(ctx, minWait)
 	default:
-		return f.watch(ctx, wait, f.Timings.WatchSlack)
+		return f.watch(ctx, wait)
 	}
 }
 
@@ -195,9 +192,11 @@
 // it never did. Unlike the other methods it may be called from any goroutine.
 func (f *Follower) LastResponse() time.Duration { return time.Duration(f.lastResponse.Load()) }
 
-// watch waits for changes, and for as long as they keep arriving. An answer without changes is current as of the end
-// of the store's wait, one with changes only as of the time of the call.
-func (f *Follower) watch(ctx context.Context, wait, slack time.Duration) error {
+// watch waits for changes, at most for the given time, and for as long as they keep
+// arriving. An answer without changes is current as of the end of the store's wait, one with
+// changes only as of the time of the call.
+func (f *Follower) watch(ctx context.Context, longest time.Duration) error {
+	wait, slack := f.pace.watchLimits(f.Timings, longest)
 	ctx, cancel := context.WithTimeout(ctx, wait+maxTransfer)
 	defer cancel()
 	started := f.BootTime()
@@ -216,7 +215,9 @@
 		f.deliverAhead(changes.Incarnation, read)
 		return err
 	}
-	f.lastResponse.Store(int64(f.BootTime()))
+	now := f.BootTime()
+	f.lastResponse.Store(int64(now))
+	f.pace.watched(now-started, wait, len(changes.Changes) > 0)
 	f.unanswered, f.next = 0, f.afterWatch(changes)
 	if f.next == callList || f.outdated > 0 {
 		f.deliverAhead(changes.Incarnation, read)
@@ -224,7 +225,7 @@
 	}
 	asOf := started
 	if len(changes.Changes) == 0 {
-		asOf = min(started+wait, f.BootTime())
+		asOf = min(started+wait, now)
 	}
 	f.malformed, f.listings = 0, 0
 	f.cursor = f.cursor.Max(changes.Position())
--- a/internal/follow/listing.go
+++ b/internal/follow/listing.go
@@ -199,7 +199,10 @@
 func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxTransfer)
 	defer cancel()
-	return f.Store.List(ctx, platform.AllKeys, after, f.Timings.CallTimeout)
+	started := f.BootTime()
+	page, err := f.Store.List(ctx, platform.AllKeys, after, f.pace.callLimit(f.Timings))
+	f.pace.called(f.BootTime()-started, err)
+	return page, err
 }
 
 // catchUp adds to a listing what has changed since its first page if it is slow or must be
@@ -212,7 +215,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxTransfer)
 	defer cancel()
-	changes, err := f.Store.Watch(ctx, platform.AllKeys, b.Position.Revision, minWait, f.Timings.CallTimeout)
+	changes, err := f.Store.Watch(ctx, platform.AllKeys, b.Position.Revision, minWait, f.pace.callLimit(f.Timings))
 	if f.Store.Incarnation() > b.Position.Incarnation {
 		return errRestored
 	}
--- a/internal/follow/timings.go
+++ b/internal/follow/timings.go
@@ -49,6 +49,10 @@
 // store answers at once.
 func (t Timings) NormalAge() time.Duration { return t.MinInterval + t.WatchWait }
 
+// longestCall is the most time that a call gets for its answer to begin: the bound within
+// which changes must be in force. A state that takes longer to read is old in any case.
+func (t Timings) longestCall() time.Duration { return 3 * t.CallTimeout }
+
 // The bounds of the wait after a failed call. The maximum is well below the
 // time within which a machine must be current once it can be reached again.
 const (
