follow: Read all keys after changes without a readable revision

A change whose revision can't be read, or exceeds the store's, got a position among the others of its answer, and the answer counted as complete. With two changes of a key in it, or one that was delivered ahead, the later one could be taken for the earlier one, and a drain stayed unknown while the state counted as current.

Such changes now count ahead of the position, below the store's, and a listing is next. A listing that is caught up by an answer from before its position is not.

--- a/internal/follow/calls.go
+++ b/internal/follow/calls.go
@@ -66,15 +66,15 @@
 }
 
 // afterWatch returns the call after a watch that was answered. Changes without a key may
-// be of any key, and a store that is repeatedly behind the cursor reports no change until
-// it is past it.
-func (f *Follower) afterWatch(changes platform.Changes) call {
+// be of any key, those that had to be placed may be in another order, and a store that is
+// repeatedly behind the cursor reports no change until it is past it.
+func (f *Follower) afterWatch(changes platform.Changes, placed bool) call {
 	if changes.Revision >= f.cursor.Revision {
 		f.outdated = 0
 	} else {
 		f.outdated++
 	}
-	if changes.Skipped > 0 || f.outdated >= maxOutdated {
+	if placed || changes.Skipped > 0 || f.outdated >= maxOutdated {
 		return callList
 	}
 	return callWatch
@@ -115,22 +115,21 @@
 	}
 }
 
-// placed returns the changes of a watch since the revision, with positions for those whose
-// revision can't be read, or which exceeds the store's: such a change would hide all later
-// ones of its key. Changes are in the order of their revisions.
-func placed(changes platform.Changes, since uint64) []platform.Change {
-	last := since
+// place gives positions to the changes of a watch since the revision whose own can't be read
+// or exceed the store's, which would hide all later changes of their keys. It reports whether
+// there were any: since other changes of their keys may be earlier or later, all keys must
+// be read. The positions are before the store's, so that a listing's items count.
+func place(changes platform.Changes, since uint64) (any bool) {
+	last, limit := since, max(changes.Revision, 1)-1
 	for i := range changes.Changes {
 		c := &changes.Changes[i]
-		if c.Revision == 0 {
-			c.Revision = last + 1
-		}
-		if changes.Revision > 0 {
-			c.Revision = min(c.Revision, max(changes.Revision, since+1))
+		if c.Unplaced || changes.Revision > 0 && c.Revision > max(changes.Revision, since+1) {
+			any = true
+			c.Revision = min(last+1, max(limit, since+1))
 		}
 		last = max(last, c.Revision)
 	}
-	return changes.Changes
+	return any
 }
 
 // usable returns the changes without a secret that can't be read, in place of which the
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -201,14 +201,15 @@
 		// The revisions since the cursor are of other changes.
 		return errRestored
 	}
-	read := f.usable(placed(changes, f.cursor.Revision), changes.Skipped)
+	placed := place(changes, f.cursor.Revision)
+	read := f.usable(changes.Changes, changes.Skipped)
 	if err != nil {
 		f.next = callList
 		f.deliverAhead(changes.Incarnation, read)
 		return err
 	}
 	f.lastResponse.Store(int64(f.BootTime()))
-	f.unanswered, f.next = 0, f.afterWatch(changes)
+	f.unanswered, f.next = 0, f.afterWatch(changes, placed)
 	if f.next == callList || f.outdated > 0 {
 		f.deliverAhead(changes.Incarnation, read)
 		return nil
--- a/internal/follow/listing.go
+++ b/internal/follow/listing.go
@@ -105,10 +105,10 @@
 func (f *Follower) addPage(l *listing, page platform.Page) (advanced bool) {
 	position := page.Position()
 	changes := make([]platform.Change, len(page.Items))
-	last := ""
+	last := l.after
 	for i, item := range page.Items {
 		changes[i].Item = item
-		last = max(last, item.Key)
+		last = item.Key
 		if page.Revision == 0 {
 			position.Revision = max(position.Revision, item.Revision)
 		}
@@ -216,8 +216,9 @@
 	if f.Store.Incarnation() > b.Position.Incarnation {
 		return errRestored
 	}
-	later := f.usable(placed(changes, b.Position.Revision), changes.Skipped)
-	if err == nil && changes.Skipped > 0 {
+	placed := place(changes, b.Position.Revision)
+	later := f.usable(changes.Changes, changes.Skipped)
+	if err == nil && (placed || changes.Skipped > 0 || changes.Revision < b.Position.Revision) {
 		err = platform.ErrIncomplete
 	}
 	if err != nil {
--- a/internal/follow/unreadable_test.go
+++ b/internal/follow/unreadable_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -31,6 +33,8 @@
 	store    *platformtest.Store
 	follower *Follower
 	begun    time.Time
+	// bound is the time within which a change must be known.
+	bound time.Duration
 
 	mu      sync.Mutex
 	replica *Replica
@@ -105,7 +109,7 @@
 // the store, which holds a configuration and endpoints.
 func followStore(t *testing.T, prepare func(*platformtest.Store), test func(*storeReader)) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &storeReader{t: t, store: platformtest.NewStore(), begun: time.Now(), replica: newTestReplica()}
+		r := &storeReader{t: t, store: platformtest.NewStore(), begun: time.Now(), bound: storeBound, replica: newTestReplica()}
 		r.store.Put(platformtest.ConfigurationKey, []byte(platformtest.Configuration(1)))
 		for i := range testEndpoints {
 			r.put(i+1, "ready", 1)
@@ -201,7 +205,7 @@
 }
 
 func (r *storeReader) withinBound(change string, written time.Duration) {
-	require.Less(r.t, r.follower.BootTime()-written, storeBound, "%s is not known", change)
+	require.Less(r.t, r.follower.BootTime()-written, r.bound, "%s is not known", change)
 }
 
 // drains has endpoints drain at various times after one another.
@@ -260,6 +264,59 @@
 	}
 }
 
+// TestPlacedChangesDoNotCountAsCurrent: the order of two changes of a key is not known if the
+// revision of one can't be read, so that the state must not count as complete with them.
+func TestPlacedChangesDoNotCountAsCurrent(t *testing.T) {
+	for name, item := range map[string]platform.Item{
+		"unreadable": {Key: "a", Unplaced: true}, "too high": {Key: "a", Revision: 1 << 60},
+	} {
+		t.Run(name, func(t *testing.T) {
+			changes := []platform.Change{{Item: platform.Item{Key: "a", Revision: 6}}, {Item: item}}
+			batches, _, _ := runScript(t, listOf(5, "a"),
+				step{want: watch0, watch: platform.Changes{Revision: 9, Incarnation: 1, Changes: changes}}, listOf(9, "a"))
+			require.True(t, batches[1].Partial)
+			require.Zero(t, batches[1].AsOf)
+			require.EqualValues(t, 7, batches[1].Changes[1].Revision)
+			require.True(t, batches[2].Complete)
+		})
+	}
+}
+
+// TestRandomTroublesHideNoChange: answers of various forms after one another leave the
+// follower in a state in which it misses a change, or counts as current without it.
+func TestRandomTroublesHideNoChange(t *testing.T) {
+	troubles := platformtest.Troubles()
+	delete(troubles, "item of 5 MB")
+	troubles["503"] = platformtest.Status(http.StatusServiceUnavailable)
+	troubles["no answer"] = platformtest.NoAnswer()
+	names := slices.Sorted(maps.Keys(troubles))
+	for seed := range uint64(20) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			var mu sync.Mutex
+			random := rand.New(rand.NewPCG(seed, 0))
+			trouble := func(a *platformtest.Answer, w http.ResponseWriter, r *http.Request) bool {
+				mu.Lock()
+				name := names[random.IntN(len(names))]
+				calm := random.IntN(2) == 0
+				mu.Unlock()
+				return !calm && troubles[name](a, w, r)
+			}
+			followStore(t, nil, func(r *storeReader) {
+				time.Sleep(time.Second)
+				r.store.SetTrouble(trouble)
+				// Several calls in a row may fail.
+				r.bound = time.Minute
+				r.drains(1, 2, 3, 4)
+				r.removed(7)
+				r.drains(5, 6)
+				r.store.SetTrouble(nil)
+				r.bound = storeBound
+				r.drains(8)
+			})
+		})
+	}
+}
+
 // TestLargeUnreadableEntriesDelayNoDrain: another writer stores entries that together are
 // larger than any answer that is kept in memory.
 func TestLargeUnreadableEntriesDelayNoDrain(t *testing.T) {
