follow: State the age of a listing that goes on from another

Cause: a listing that replaces one of which pages were missing takes the position up to which that one was caught up, but stated its own start as the time as of which it is current. A key that was written after that position and removed before the first page was not removed, so that the state looked current without being true until the next watch.

Change: such a listing is current as of what it goes on from, unless it is caught up.

--- a/internal/follow/listing.go
+++ b/internal/follow/listing.go
@@ -27,8 +27,10 @@
 	// caughtUp is the position up to which the batch holds later changes.
 	caughtUp catalog.Position
 	// base is the position up to which a listing before this one, of which pages were
-	// missing, held later changes. Those since then are read with this one.
-	base catalog.Position
+	// missing, held later changes. Those since then are read with this one. baseAsOf is the
+	// time as of which that was current.
+	base     catalog.Position
+	baseAsOf time.Duration
 	// stale is set once the later changes could not be read.
 	stale bool
 	// failures counts the calls for the present page that failed.
@@ -91,12 +93,12 @@
 	if f.partial != nil && now-f.partial.startedAt <= listingLifetime {
 		return f.partial
 	}
-	var base catalog.Position
+	l := &listing{batch: Batch{Complete: true, AsOf: now}, startedAt: now, deliveredAt: now}
 	if f.partial != nil {
-		base = f.partial.caughtUp
+		l.base, l.baseAsOf = f.partial.caughtUp, f.partial.batch.AsOf
 	}
-	f.partial = &listing{batch: Batch{Complete: true, AsOf: now}, startedAt: now, deliveredAt: now, base: base}
-	return f.partial
+	f.partial = l
+	return l
 }
 
 // addPage adds the items of a page, which may be cut short, and reports whether there were
@@ -126,7 +128,8 @@
 	if l.batch.Position.IsZero() {
 		l.batch.Position = position
 		if l.base.Incarnation == position.Incarnation && !l.base.IsZero() && position.After(l.base) {
-			l.batch.Position = l.base
+			// Keys that were written and removed since then are not among the pages.
+			l.batch.Position, l.batch.AsOf = l.base, l.baseAsOf
 		}
 	}
 	l.after = max(l.after, last)
