follow: Take a secret that can't be read for one that exists

Cause: a secret that can't be read was left out of a listing, which then counted as one in which there is none. The host kept the secret but told its peers nothing of it, and wrote it again at its next registration.

Change: the listing names the secret as withheld.

--- a/internal/follow/calls.go
+++ b/internal/follow/calls.go
@@ -145,7 +145,7 @@
 		if c.Unreadable && kind != platform.KindOther {
 			f.items.add(&c)
 		}
-		if !c.Unreadable || kind != platform.KindSecret {
+		if !unreadableSecret(c) {
 			kept = append(kept, c)
 		}
 	}
@@ -153,6 +153,8 @@
 	return kept
 }
 
+func unreadableSecret(c platform.Change) bool { return c.Unreadable && c.Key == platform.SecretKey }
+
 // itemReport collects the unreadable items for the log.
 type itemReport struct {
 	// first is the first key since the last line, count the number of items with a
--- a/internal/follow/listing.go
+++ b/internal/follow/listing.go
@@ -133,6 +133,9 @@
 		}
 	}
 	l.after = max(l.after, last)
+	if slices.ContainsFunc(changes, unreadableSecret) {
+		l.batch.Withheld = []string{platform.SecretKey}
+	}
 	l.batch.Changes = append(l.batch.Changes, f.usable(changes, page.Skipped)...)
 	return advanced
 }
