follow: Continue a long listing's changes where they were last read

Callers saw (in the test): a host opened flows at an endpoint that was draining, for as long as a listing took that was longer than the store's history.

Cause: while a host reads a listing, it reads what has changed since the first page, each time all of it. Once the history since the first page is gone, the call fails with 410, and the host reads no more changes until the end of the listing. The next watch then begins at a position that may be gone too, and leads to another listing.

Change: the changes are read from where the last such call ended, and added to those before.

--- a/internal/follow/listing.go
+++ b/internal/follow/listing.go
@@ -221,13 +221,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxTransfer)
 	defer cancel()
-	changes, err := f.Store.Watch(ctx, platform.AllKeys, b.Position.Revision, minWait, f.pace.callLimit(f.Timings))
+	// The store may no longer have what has changed since the first page of a long listing.
+	since := b.Position.Max(l.caughtUp)
+	changes, err := f.Store.Watch(ctx, platform.AllKeys, since.Revision, minWait, f.pace.callLimit(f.Timings))
 	if f.Store.Incarnation() > b.Position.Incarnation {
 		return errRestored
 	}
-	placed := place(changes, b.Position.Revision)
+	placed := place(changes, since.Revision)
 	later := f.usable(changes.Changes, changes.Skipped)
-	if err == nil && (placed || changes.Skipped > 0 || changes.Revision < b.Position.Revision) {
+	if err == nil && (placed || changes.Skipped > 0 || changes.Revision < since.Revision) {
 		err = platform.ErrIncomplete
 	}
 	if err != nil {
@@ -243,6 +245,6 @@
 		}
 		return nil
 	}
-	b.Later, b.AsOf, l.caughtUp = later, started, changes.Position()
+	b.Later, b.AsOf, l.caughtUp = append(b.Later, later...), started, since.Max(changes.Position())
 	return nil
 }
