follow: Go on reading changes during a listing after a rejected call

Callers saw (in the test): a host opened flows at an endpoint that was draining, until the end of a listing that took 25 s.

Cause: after one call for the changes since the first page that was rejected or not answered, a host made no such call for the rest of the listing.

Change: only an answer that can't be read, or a history that is gone, ends these calls. After any other failure the next one follows after CallTimeout, and later after each further failure, so that a store that answers no watches delays a listing by little.

--- a/internal/follow/listing.go
+++ b/internal/follow/listing.go
@@ -31,8 +31,11 @@
 	// time as of which that was current.
 	base     catalog.Position
 	baseAsOf time.Duration
-	// stale is set once the later changes could not be read.
-	stale bool
+	// stale is set once the later changes can't be read. unread counts the calls for them
+	// that were not answered, and catchUpAt is when the next one may be made after such a one.
+	stale     bool
+	unread    int
+	catchUpAt time.Duration
 	// failures counts the calls for the present page that failed.
 	failures int
 }
@@ -216,7 +219,7 @@
 // is errRestored if the store was restored meanwhile.
 func (f *Follower) catchUp(ctx context.Context, l *listing, must bool) error {
 	b, started := &l.batch, f.BootTime()
-	if !must && started-b.AsOf <= f.Timings.MinInterval {
+	if !must && (started-b.AsOf <= f.Timings.MinInterval || started < l.catchUpAt) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxTransfer)
@@ -233,8 +236,11 @@
 		err = platform.ErrIncomplete
 	}
 	if err != nil {
-		// The batch states its age, and the next step is a watch again.
-		l.stale = true
+		// The batch states its age, and the next step is a watch again. A long listing must
+		// not hide all further changes because one call was rejected.
+		l.stale = unreadable(err) || errors.Is(err, platform.ErrCompacted)
+		l.unread++
+		l.catchUpAt = f.BootTime() + time.Duration(l.unread)*f.Timings.CallTimeout
 		if errors.Is(err, platform.ErrCompacted) {
 			// The listing is of no use, nor is its position for the next one.
 			f.partial = nil
--- a/internal/follow/longlisting_test.go
+++ b/internal/follow/longlisting_test.go
@@ -60,3 +60,32 @@
 		require.Less(t, r.store.Listings(), 200, "pages")
 	})
 }
+
+// TestRejectedCallDelaysNoDrainDuringAListing: one rejected call ends the reading of changes
+// for the rest of a long listing.
+func TestRejectedCallDelaysNoDrainDuringAListing(t *testing.T) {
+	followStore(t, manyEndpoints, func(r *storeReader) {
+		time.Sleep(time.Second)
+		calls := 0
+		r.store.SetTrouble(slowPages(func(_ *platformtest.Answer, w http.ResponseWriter) bool {
+			calls++
+			switch calls {
+			case 1:
+				w.WriteHeader(http.StatusGone)
+			case 3:
+				w.WriteHeader(http.StatusServiceUnavailable)
+			default:
+				return false
+			}
+			return true
+		}))
+		time.Sleep(5 * time.Second)
+		for i := 1; i <= 4; i++ {
+			r.put(i, "draining", 2)
+			r.known("drain of "+endpointID(i), func() bool { return !r.uses(i) })
+			time.Sleep(time.Second)
+		}
+		r.store.SetTrouble(nil)
+		time.Sleep(storeBound)
+	})
+}
