--- a/internal/follow/listing.go
+++ b/internal/follow/listing.go
@@ -137,7 +137,7 @@
 func (f *Follower) endListing(ctx context.Context, l *listing) error {
 	f.partial, f.listedOnce = nil, true
 	// While watches get no answer, a host that reads the store by listings has not lost
-	// it: a recovery grace period after each would keep removed endpoints for ever.
+	// it: a recovery grace period after each would hold all removals back beyond the bound.
 	l.batch.Reconnected = f.reconnected() && f.listings == 0
 	if err := f.catchUp(ctx, l, false); err != nil {
 		return err
--- a/internal/follow/unreadable_test.go
+++ b/internal/follow/unreadable_test.go
@@ -227,11 +227,11 @@
 				require.True(t, r.uses(1))
 				r.store.SetTrouble(trouble)
 				r.drains(1, 2, 3, 4)
+				r.removed(7)
 				r.store.Put(platformtest.ConfigurationKey, []byte(platformtest.Configuration(2)))
 				if name != unreadableConfiguration {
 					r.known("configuration", func() bool { return r.version() == 2 })
 				}
-				r.removed(7)
 				r.drains(8, 9)
 				r.store.SetTrouble(nil)
 				r.drains(5)
@@ -264,6 +264,16 @@
 	}
 }
 
+// TestFailingListingGivesWayToTheWatch: a listing in place of a watch is asked for again for
+// ever, though it gets no answer and the watch would.
+func TestFailingListingGivesWayToTheWatch(t *testing.T) {
+	followStore(t, nil, func(r *storeReader) {
+		time.Sleep(time.Second)
+		r.store.SetTrouble(platformtest.OneCutWatchWithoutListings())
+		r.drains(1, 2, 3)
+	})
+}
+
 // TestPlacedChangesDoNotCountAsCurrent: the order of two changes of a key is not known if the
 // revision of one can't be read, so that the state must not count as complete with them.
 func TestPlacedChangesDoNotCountAsCurrent(t *testing.T) {
