platform client: List the other keys beside one that can't be decoded

Cause: a page was decoded as a whole, and the call was repeated with the same result. The watch reads all its ranges before it begins, so that one value among the marks kept it from ever following the accepted bundle.

Change: a page is decoded key by key. A key whose value can't be decoded has none, which its readers report as malformed. A page without any readable key that is not the last one fails, since there is no key to go on from.

--- a/internal/platform/kv.go
+++ b/internal/platform/kv.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
 
@@ -90,7 +91,7 @@
 	request.Limit = pageSize
 	var listing Listing
 	for {
-		var page gateway.RangeResponse
+		var page rangePage
 		err := c.call(ctx, gateway.PathRange, request, &page, idempotent)
 		if errors.Is(err, errTooLarge) && request.Limit > 1 {
 			request.Limit = max(1, request.Limit/4)
@@ -105,14 +106,45 @@
 		for _, kv := range page.KVs {
 			listing.Entries = append(listing.Entries, c.entry(kv))
 		}
-		if !page.More || len(page.KVs) == 0 {
+		if !page.More {
 			return listing, nil
 		}
+		if len(page.KVs) == 0 {
+			return Listing{}, merry.Prepend(ErrUnreachable, "page without a readable key is not the last")
+		}
 		request.Revision = listing.Revision
 		request.Key = append(page.KVs[len(page.KVs)-1].Key, 0)
 	}
 }
 
+// rangePage is a page of a range, decoded key by key.
+type rangePage struct {
+	gateway.RangeResponse
+	KVs keyValues `json:"kvs"`
+}
+
+// keyValues are the keys of a page. One that can't be decoded must not hide the others: it
+// lacks what can't be read, and is left out if that is its name.
+type keyValues []gateway.KeyValue
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (k *keyValues) UnmarshalJSON(data []byte) error {
+	var elements []json.RawMessage
+	if err := json.Unmarshal(data, &elements); err != nil {
+		return err
+	}
+	for _, element := range elements {
+		var kv gateway.KeyValue
+		if err := json.Unmarshal(element, &kv); err != nil {
+			kv.Value = nil
+		}
+		if len(kv.Key) > 0 {
+			*k = append(*k, kv)
+		}
+	}
+	return nil
+}
+
 // Guard makes a write conditional on a key that the writer holds, usually under
 // a lease, being unchanged since the writer last wrote it.
 type Guard struct {
--- a/internal/platform/unreadable_test.go
+++ b/internal/platform/unreadable_test.go
@@ -134,3 +134,42 @@
 		require.Len(t, await(t, changes).Entries, 5)
 	})
 }
+
+// TestUnreadableValueHidesNoOtherKey: a listing in which one value can't be read was read
+// again for ever, and no other key was known.
+func TestUnreadableValueHidesNoOtherKey(t *testing.T) {
+	for name, by := range map[string]string{
+		"no base64":    `"value":"?"`,
+		"another type": `"value":{"a":[1]}`,
+		"no number":    `"version":"x"`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, nil, func(t *testing.T, ctx context.Context, h *harness) {
+				server := standin.NewPipeServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					altered := alteredMessages{w, func(b []byte) []byte {
+						return bytes.Replace(b, []byte(`"value":"////"`), []byte(by), 1)
+					}}
+					h.service.ServeHTTP(altered, r)
+				}))
+				defer func() { _ = server.Close() }()
+				transport := server.Transport()
+				defer transport.CloseIdleConnections()
+				client, err := platform.New(platform.Options{
+					Addresses: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
+					Prefix:    "tg/",
+					Clock:     platform.SystemClock{},
+					Rand:      rand.New(rand.NewPCG(7, 7)),
+					Transport: transport,
+				})
+				require.NoError(t, err)
+				put(t, ctx, h, "marks/1", "\xff\xff\xff")
+				put(t, ctx, h, "marks/2", "a")
+				listing, err := client.List(ctx, "marks/")
+				require.NoError(t, err)
+				require.Len(t, listing.Entries, 2)
+				require.Empty(t, listing.Entries[0].Value)
+				require.Equal(t, "a", string(listing.Entries[1].Value))
+			})
+		})
+	}
+}
