--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,7 @@
 # A short soak run with fixed seeds, for CI.
 soak-ci: build
 	$(BIN)/tg-soak --daemon $(BIN)/toucangapd --seed 3 --seeds 2 --faults 4s
+	$(BIN)/tg-soak --daemon $(BIN)/toucangapd --seed 3 --seeds 2 --faults 4s --store-kinds
 
 # experiment compares rules for placement under different loads in the emulator.
 experiment: build
--- a/standin/soak/frozen_test.go
+++ b/standin/soak/frozen_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"toucangap/standin/kv"
 	"toucangap/standin/site"
 )
 
@@ -75,3 +76,15 @@
 func TestDrainIsKnownBesideTextValue(t *testing.T) {
 	drainAndConfigure(t, 21040, func(s *site.Site) { site.WriteEntries(s.Store, site.EntriesText, 0) })
 }
+
+// TestDrainIsKnownAtSlowStore: hosts ask a store that answers a little later than their time
+// limits again and again, and place flows by an old state.
+func TestDrainIsKnownAtSlowStore(t *testing.T) {
+	drainAndConfigure(t, 21090, func(s *site.Site) {
+		s.Store.SetFaults(kv.Faults{Slow: 450 * time.Millisecond})
+		for range 3 {
+			s.Configure()
+			time.Sleep(site.ConfigBound / 2)
+		}
+	})
+}
