follow: Keep the known secret when the store holds an empty one

Cause: an empty value of the hosts' shared secret replaced the known one. A host without a secret refuses all clients of its feed, and no host writes another one, since the key exists. All hosts would then read the store themselves. Found by reading.

Change: an empty secret is ignored, as one that can't be read is.

Measured: TestEmptySecretEndsNoFeeds fails without the change ("" in place of "secret"). go test -race passes for internal/follow, internal/relayd, internal/feed and platform.

--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -214,8 +214,9 @@
 	case platform.KindHost:
 		r.applyHost(now, name, c)
 	case platform.KindSecret:
-		// A secret that a restored store has lost stays: a host writes it again.
-		if !c.Removed {
+		// A secret that a restored store has lost stays: a host writes it again. With an empty
+		// one, hosts would refuse all feeds.
+		if !c.Removed && len(c.Value) > 0 {
 			r.secret = c.Value
 		}
 	}
--- a/internal/follow/secret_test.go
+++ b/internal/follow/secret_test.go
@@ -26,3 +26,18 @@
 		require.True(t, stored)
 	})
 }
+
+// TestEmptySecretEndsNoFeeds: without a secret a host refuses all feeds, so that one empty value
+// sends all hosts to the store.
+func TestEmptySecretEndsNoFeeds(t *testing.T) {
+	followStore(t, func(s *platformtest.Store) { s.Put(platform.SecretKey, []byte("secret")) }, func(r *storeReader) {
+		time.Sleep(time.Second)
+		r.store.Put(platform.SecretKey, []byte{})
+		r.drains(1)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		secret, stored := r.replica.Secret()
+		require.Equal(t, "secret", string(secret))
+		require.True(t, stored)
+	})
+}
