--- a/internal/follow/timings.go
+++ b/internal/follow/timings.go
@@ -16,12 +16,13 @@
 	// WatchWait is how long the store may hold a watch.
 	WatchWait time.Duration
 	// WatchSlack is how much longer than WatchWait the response may take to begin, and
-	// the longest time without more of it.
+	// the longest time without more of it, unless the store has answered later than that
+	// (see pace).
 	WatchSlack time.Duration
 	// MinInterval is the minimum time between the starts of two successful
 	// calls, which limits the call rate when changes are frequent.
 	MinInterval time.Duration
-	// CallTimeout bounds calls other than watches.
+	// CallTimeout bounds calls other than watches, with the same exception.
 	CallTimeout time.Duration
 	// MaxAge is the age of the state from which a host tries other sources.
 	MaxAge time.Duration
