--- a/internal/relayd/monitor.go
+++ b/internal/relayd/monitor.go
@@ -14,7 +14,8 @@
 const stalenessInterval = 250 * time.Millisecond
 
 // stalenessMonitor reports when the host's state of the store is older than the bound on
-// changes, and why, and interrupts a source that does not make it current. It waits for no other goroutine, so that none can stop it.
+// changes, and why, and interrupts a source that does not make it current. It waits for no
+// other goroutine, so that none can stop it.
 type stalenessMonitor struct {
 	syncer   *syncer
 	detector stalenessDetector
